Wait in one epoll set for target, peers and callers; signal a ring once

Cause: each wake-up of the peer link asked every ZeroMQ socket for its events, and the HTTP client walked over all transfers: work that grows with members and with calls in flight. Change: peer link and HTTP client use epoll on the descriptors that changed; a ring writes its eventfd only when its reader has not been told; a caller's connection is watched from accept to close instead of per call.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -166,13 +166,19 @@
 }
 
 static int
-socket_of(const exchange_t *exchange)
+fd_of(struct MHD_Connection *connection)
 {
-    return MHD_get_connection_info(exchange->connection,
+    return MHD_get_connection_info(connection,
                                    MHD_CONNECTION_INFO_CONNECTION_FD)
         ->connect_fd;
 }
 
+static int
+socket_of(const exchange_t *exchange)
+{
+    return fd_of(exchange->connection);
+}
+
 static exchange_t *
 exchange_of(bv_call_t *call)
 {
@@ -241,11 +247,15 @@
     if (exchange->listener->watch != NULL) {
         call->tag = (uint64_t)g_atomic_pointer_add(&next_tag, 1) + 1;
         exchange->watched = true;
-        bv_watch_add(exchange->listener->watch, socket_of(exchange),
-                     call->tag);
     }
     bool closed = g_atomic_int_get(&exchange->listener->closed);
+    uint64_t tag = call->tag;
+    int fd = socket_of(exchange);
     if (!closed && options->on_call(options->context, call)) {
+        /* After on_call, so that the call is known when its caller is gone. */
+        if (exchange->listener->watch != NULL) {
+            bv_watch_add(exchange->listener->watch, fd, tag);
+        }
         return MHD_YES;
     }
     bv_counter_add(BV_COUNT_RING_FULL, !closed);
@@ -352,6 +362,15 @@
     set_if(&listener->idle_timeout_s, seconds_of(limits->idle_timeout_us));
 }
 
+static void
+watch_connection(bv_listener_t *listener, struct MHD_Connection *connection,
+                 void (*tell)(bv_watch_t *watch, int fd))
+{
+    if (listener->watch != NULL) {
+        tell(listener->watch, fd_of(connection));
+    }
+}
+
 /* The first head of a connection has a limit of its own. */
 static void
 notice_connection(void *context, struct MHD_Connection *connection,
@@ -363,7 +382,10 @@
         MHD_set_connection_option(
             connection, MHD_CONNECTION_OPTION_TIMEOUT,
             (unsigned int)g_atomic_int_get(&listener->header_timeout_s));
+        watch_connection(listener, connection, bv_watch_open);
+        return;
     }
+    watch_connection(listener, connection, bv_watch_close);
 }
 
 static void
--- a/caller/watch.c
+++ b/caller/watch.c
@@ -3,6 +3,7 @@
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
 #include <glib.h>
+#include <stdbool.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -15,19 +16,41 @@
     apr_thread_t *thread;
     apr_thread_mutex_t *mutex;
     int epoll_fd;
-    GHashTable *tags;
+    /* Connections by socket. */
+    GHashTable *connections;
     gint stopping;
 };
 
+typedef struct {
+    /* The call that waits for its answer; 0 for none. */
+    uint64_t tag;
+    bool gone;
+} connection_t;
+
+static connection_t *
+find(const bv_watch_t *watch, int fd)
+{
+    return g_hash_table_lookup(watch->connections, GINT_TO_POINTER(fd));
+}
+
+static void
+tell(const bv_watch_t *watch, connection_t *connection)
+{
+    uint64_t tag = connection->tag;
+    connection->tag = 0;
+    if (tag != 0) {
+        watch->options.on_gone(watch->options.context, tag);
+    }
+}
+
 static void
 notice(bv_watch_t *watch, int fd)
 {
     apr_thread_mutex_lock(watch->mutex);
-    uint64_t *tag = g_hash_table_lookup(watch->tags, GINT_TO_POINTER(fd));
-    if (tag != NULL) {
-        watch->options.on_gone(watch->options.context, *tag);
-        epoll_ctl(watch->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-        g_hash_table_remove(watch->tags, GINT_TO_POINTER(fd));
+    connection_t *connection = find(watch, fd);
+    if (connection != NULL) {
+        connection->gone = true;
+        tell(watch, connection);
     }
     apr_thread_mutex_unlock(watch->mutex);
 }
@@ -55,7 +78,7 @@
     watch->options = *options;
     apr_pool_create(&watch->pool, NULL);
     watch->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-    watch->tags =
+    watch->connections =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     apr_thread_mutex_create(&watch->mutex, APR_THREAD_MUTEX_DEFAULT,
                             watch->pool);
@@ -70,28 +93,52 @@
     g_atomic_int_set(&watch->stopping, 1);
     apr_thread_join(&result, watch->thread);
     close(watch->epoll_fd);
-    g_hash_table_destroy(watch->tags);
+    g_hash_table_destroy(watch->connections);
     apr_pool_destroy(watch->pool);
     g_free(watch);
 }
 
 void
-bv_watch_add(bv_watch_t *watch, int fd, uint64_t tag)
+bv_watch_open(bv_watch_t *watch, int fd)
 {
-    struct epoll_event event = {.events = EPOLLRDHUP, .data.fd = fd};
+    struct epoll_event event = {.events = EPOLLRDHUP | EPOLLET, .data.fd = fd};
     apr_thread_mutex_lock(watch->mutex);
-    g_hash_table_replace(watch->tags, GINT_TO_POINTER(fd),
-                         g_memdup2(&tag, sizeof(tag)));
+    g_hash_table_replace(watch->connections, GINT_TO_POINTER(fd),
+                         g_new0(connection_t, 1));
     epoll_ctl(watch->epoll_fd, EPOLL_CTL_ADD, fd, &event);
     apr_thread_mutex_unlock(watch->mutex);
 }
 
+/* The socket leaves the epoll set by being closed. */
+void
+bv_watch_close(bv_watch_t *watch, int fd)
+{
+    apr_thread_mutex_lock(watch->mutex);
+    g_hash_table_remove(watch->connections, GINT_TO_POINTER(fd));
+    apr_thread_mutex_unlock(watch->mutex);
+}
+
+void
+bv_watch_add(bv_watch_t *watch, int fd, uint64_t tag)
+{
+    apr_thread_mutex_lock(watch->mutex);
+    connection_t *connection = find(watch, fd);
+    if (connection != NULL) {
+        connection->tag = tag;
+        if (connection->gone) {
+            tell(watch, connection);
+        }
+    }
+    apr_thread_mutex_unlock(watch->mutex);
+}
+
 void
 bv_watch_remove(bv_watch_t *watch, int fd)
 {
     apr_thread_mutex_lock(watch->mutex);
-    if (g_hash_table_remove(watch->tags, GINT_TO_POINTER(fd))) {
-        epoll_ctl(watch->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+    connection_t *connection = find(watch, fd);
+    if (connection != NULL) {
+        connection->tag = 0;
     }
     apr_thread_mutex_unlock(watch->mutex);
 }
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/headers.h"
+#include "berylvane/common/http_poll.h"
 #include "berylvane/common/ring.h"
 
 #include <apr_thread_proc.h>
@@ -29,6 +30,7 @@
 
 struct bv_http_client {
     CURLM *multi;
+    bv_http_poll_t *poll;
     bv_ring_t *ring;
     apr_thread_t *thread;
     GHashTable *transfers;
@@ -148,7 +150,10 @@
 {
     const bv_http_request_t *request = transfer->request;
     CURL *easy = transfer->easy;
-    if (request->body == NULL) {
+    bool empty =
+        request->body == NULL || (g_bytes_get_size(request->body) == 0 &&
+                                  strcmp(request->method, "GET") == 0);
+    if (empty) {
         if (strcmp(request->method, "HEAD") == 0) {
             curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
         }
@@ -204,6 +209,7 @@
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                          (long)request->idle_limit_s);
     }
+    bv_http_poll_attach(client->poll, easy);
     if (request->source != NULL) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, request->source);
     }
@@ -311,11 +317,10 @@
     (void)thread;
     bv_http_client_t *client = data;
     while (!g_atomic_int_get(&client->stopping)) {
-        int running;
+        bv_ring_clear(client->ring);
         run_commands(client);
-        curl_multi_perform(client->multi, &running);
         finish_done(client);
-        curl_multi_poll(client->multi, NULL, 0, POLL_LIMIT_MS, NULL);
+        bv_http_poll_run(client->poll, POLL_LIMIT_MS);
     }
     return NULL;
 }
@@ -328,6 +333,8 @@
     curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
                       (long)options->keep);
     client->ring = bv_ring_create(pool, options->ring_capacity);
+    client->poll =
+        bv_http_poll_create(pool, client->multi, bv_ring_fd(client->ring));
     client->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->idle =
         g_ptr_array_new_with_free_func((GDestroyNotify)curl_easy_cleanup);
@@ -349,7 +356,7 @@
 bv_http_client_stop(bv_http_client_t *client)
 {
     g_atomic_int_set(&client->stopping, 1);
-    curl_multi_wakeup(client->multi);
+    bv_ring_wake(client->ring);
     apr_status_t result;
     apr_thread_join(&result, client->thread);
     run_commands(client);
@@ -357,6 +364,7 @@
     g_hash_table_destroy(client->transfers);
     g_ptr_array_unref(client->idle);
     curl_multi_cleanup(client->multi);
+    bv_http_poll_destroy(client->poll);
 }
 
 static bool
@@ -366,7 +374,6 @@
         g_free(command);
         return false;
     }
-    curl_multi_wakeup(client->multi);
     return true;
 }
 
--- /dev/null
+++ b/common/http_poll.c
@@ -0,0 +1,176 @@
+#include "berylvane/common/http_poll.h"
+
+#include "berylvane/common/clock.h"
+
+#include <glib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define EVENTS_AT_ONCE 64
+/* Marks a socket that libcurl keeps but does not wait for; no epoll flag. */
+#define IDLE (1U << 20)
+
+struct bv_http_poll {
+    CURLM *multi;
+    int epoll_fd;
+    int wake_fd;
+    /* Events in the epoll set, by socket, and whether it is idle. */
+    GHashTable *sockets;
+    /* When libcurl wants to be called; -1 for never. */
+    int64_t timer_us;
+};
+
+static void
+watch_socket(bv_http_poll_t *poll, curl_socket_t fd, uint32_t events)
+{
+    gpointer before;
+    bool known = g_hash_table_lookup_extended(
+        poll->sockets, GINT_TO_POINTER(fd), NULL, &before);
+    if (!known || (GPOINTER_TO_UINT(before) & ~IDLE) != events) {
+        struct epoll_event event = {.events = events, .data.fd = fd};
+        epoll_ctl(poll->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd,
+                  &event);
+    }
+    g_hash_table_insert(poll->sockets, GINT_TO_POINTER(fd),
+                        GUINT_TO_POINTER(events));
+}
+
+static void
+forget_socket(bv_http_poll_t *poll, curl_socket_t fd)
+{
+    if (g_hash_table_remove(poll->sockets, GINT_TO_POINTER(fd))) {
+        epoll_ctl(poll->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+    }
+}
+
+/* A socket that is not waited for any more may soon be used again. */
+static void
+rest_socket(bv_http_poll_t *poll, curl_socket_t fd)
+{
+    gpointer events;
+    if (g_hash_table_lookup_extended(poll->sockets, GINT_TO_POINTER(fd), NULL,
+                                     &events)) {
+        g_hash_table_insert(
+            poll->sockets, GINT_TO_POINTER(fd),
+            GUINT_TO_POINTER(GPOINTER_TO_UINT(events) | IDLE));
+    }
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *context, void *socket)
+{
+    (void)easy;
+    (void)socket;
+    if (what == CURL_POLL_REMOVE) {
+        rest_socket(context, fd);
+        return 0;
+    }
+    bool writes = (what & CURL_POLL_OUT) != 0;
+    watch_socket(context, fd, writes ? EPOLLIN | EPOLLOUT : EPOLLIN);
+    return 0;
+}
+
+static int
+on_timer(CURLM *multi, long timeout_ms, void *context)
+{
+    (void)multi;
+    bv_http_poll_t *poll = context;
+    poll->timer_us = timeout_ms < 0 ? -1
+                                    : bv_clock_now_us() +
+                                          timeout_ms * BV_US_PER_MS;
+    return 0;
+}
+
+static int
+on_close(void *context, curl_socket_t fd)
+{
+    forget_socket(context, fd);
+    return close(fd);
+}
+
+void
+bv_http_poll_attach(bv_http_poll_t *poll, CURL *easy)
+{
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, poll);
+}
+
+bv_http_poll_t *
+bv_http_poll_create(apr_pool_t *pool, CURLM *multi, int wake_fd)
+{
+    bv_http_poll_t *poll = apr_pcalloc(pool, sizeof(*poll));
+    poll->multi = multi;
+    poll->wake_fd = wake_fd;
+    poll->timer_us = -1;
+    poll->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    poll->sockets = g_hash_table_new(g_direct_hash, g_direct_equal);
+    struct epoll_event event = {.events = EPOLLIN, .data.fd = wake_fd};
+    epoll_ctl(poll->epoll_fd, EPOLL_CTL_ADD, wake_fd, &event);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, poll);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_timer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, poll);
+    return poll;
+}
+
+void
+bv_http_poll_destroy(bv_http_poll_t *poll)
+{
+    close(poll->epoll_fd);
+    g_hash_table_destroy(poll->sockets);
+}
+
+static int
+wait_ms(const bv_http_poll_t *poll, int limit_ms)
+{
+    if (poll->timer_us < 0) {
+        return limit_ms;
+    }
+    int64_t left_us = MAX(0, poll->timer_us - bv_clock_now_us());
+    int64_t left_ms = (left_us + BV_US_PER_MS - 1) / BV_US_PER_MS;
+    return (int)MIN(left_ms, limit_ms);
+}
+
+/* An idle socket with an event was closed by its server: libcurl finds out
+ * when it next wants to use it. */
+static void
+act_on(bv_http_poll_t *poll, const struct epoll_event *event)
+{
+    int running;
+    int mask = 0;
+    gpointer known =
+        g_hash_table_lookup(poll->sockets, GINT_TO_POINTER(event->data.fd));
+    if (GPOINTER_TO_UINT(known) & IDLE) {
+        forget_socket(poll, event->data.fd);
+        return;
+    }
+    if (event->events & (EPOLLIN | EPOLLHUP | EPOLLERR)) {
+        mask |= CURL_CSELECT_IN;
+    }
+    if (event->events & EPOLLOUT) {
+        mask |= CURL_CSELECT_OUT;
+    }
+    if (event->events & EPOLLERR) {
+        mask |= CURL_CSELECT_ERR;
+    }
+    curl_multi_socket_action(poll->multi, event->data.fd, mask, &running);
+}
+
+void
+bv_http_poll_run(bv_http_poll_t *poll, int limit_ms)
+{
+    struct epoll_event events[EVENTS_AT_ONCE];
+    int running;
+    int count = epoll_wait(poll->epoll_fd, events, EVENTS_AT_ONCE,
+                           wait_ms(poll, limit_ms));
+    for (int i = 0; i < count; i++) {
+        if (events[i].data.fd != poll->wake_fd) {
+            act_on(poll, &events[i]);
+        }
+    }
+    if (poll->timer_us >= 0 && poll->timer_us <= bv_clock_now_us()) {
+        poll->timer_us = -1;
+        curl_multi_socket_action(poll->multi, CURL_SOCKET_TIMEOUT, 0,
+                                 &running);
+    }
+}
--- a/common/ring.c
+++ b/common/ring.c
@@ -2,6 +2,7 @@
 
 #include <apr_queue.h>
 #include <errno.h>
+#include <glib.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
@@ -10,6 +11,8 @@
 struct bv_ring {
     apr_queue_t *queue;
     int event_fd;
+    /* Whether event_fd was written since it was last cleared. */
+    gint signalled;
 };
 
 bv_ring_t *
@@ -30,6 +33,7 @@
 bv_ring_wake(bv_ring_t *ring)
 {
     uint64_t one = 1;
+    g_atomic_int_set(&ring->signalled, 1);
     ssize_t written = write(ring->event_fd, &one, sizeof(one));
     (void)written;
 }
@@ -44,7 +48,9 @@
     if (status != APR_SUCCESS) {
         return false;
     }
-    bv_ring_wake(ring);
+    if (g_atomic_int_exchange(&ring->signalled, 1) == 0) {
+        bv_ring_wake(ring);
+    }
     return true;
 }
 
@@ -85,6 +91,10 @@
 bv_ring_clear(bv_ring_t *ring)
 {
     uint64_t count;
+    if (!g_atomic_int_get(&ring->signalled)) {
+        return;
+    }
     ssize_t got = read(ring->event_fd, &count, sizeof(count));
     (void)got;
+    g_atomic_int_set(&ring->signalled, 0);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -166,13 +166,14 @@
     read_endpoint(settings->operator_text, path, "/operators",
                   &settings->operators, findings);
     if (settings->outside.port == 0) {
-        bv_findings_add(findings, path, "/outside_port", "missing");
+        bv_findings_add(findings, path, "/", "missing key \"outside_port\"");
     }
     if (settings->local.port == 0 && settings->control.port == 0) {
-        bv_findings_add(findings, path, "/local_port", "missing");
+        bv_findings_add(findings, path, "/", "missing key \"local_port\"");
     }
     if (settings->operators.port == 0) {
-        bv_findings_add(findings, path, "/operator_port", "missing");
+        bv_findings_add(findings, path, "/",
+                        "missing key \"operator_port\"");
     }
 }
 
@@ -187,7 +188,7 @@
                   findings);
     if (settings->ticket_key == NULL &&
         settings->dialect == BV_DIALECT_OWN) {
-        bv_findings_add(findings, path, "/ticket_key", "missing");
+        bv_findings_add(findings, path, "/", "missing key \"ticket_key\"");
     }
     check_hex_key(path, "/ticket_key", settings->ticket_key, findings);
     check_hex_key(path, "/ticket_key_previous", settings->ticket_key_previous,
--- a/peer/link.c
+++ b/peer/link.c
@@ -7,6 +7,8 @@
 
 #include <apr_thread_proc.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #define SEND_HIGH_WATER 10000
@@ -14,6 +16,7 @@
 #define RETIRED_LIMIT 64
 #define RETIRED_IDLE_US (15 * BV_US_PER_S)
 #define RETIRED_CHECK_MS 1000
+#define EVENTS_AT_ONCE 64
 
 typedef enum {
     COMMAND_SEND,
@@ -32,6 +35,7 @@
 typedef struct {
     char member[BV_NAME_BYTES];
     void *socket;
+    int epoll_fd;
     uint64_t incarnation;
     uint64_t session;
     int64_t heard_us;
@@ -46,15 +50,26 @@
     GHashTable *connections;
     /* Replaced connections, which only receive; the oldest first. */
     GQueue retired;
-    GArray *poll_items;
-    GPtrArray *poll_connections;
+    int epoll_fd;
     gint stopping;
 };
 
+/* A ZeroMQ socket's descriptor tells that its state may have changed. */
+static int
+descriptor_of(void *socket)
+{
+    int fd = -1;
+    size_t size = sizeof(fd);
+    zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+    return fd;
+}
+
 static void
 free_connection(gpointer data)
 {
     connection_t *connection = data;
+    epoll_ctl(connection->epoll_fd, EPOLL_CTL_DEL,
+              descriptor_of(connection->socket), NULL);
     zmq_close(connection->socket);
     g_free(connection);
 }
@@ -99,6 +114,13 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit, sizeof(limit));
 }
 
+static void
+watch_fd(bv_link_t *link, int fd, void *source)
+{
+    struct epoll_event event = {.events = EPOLLIN, .data.ptr = source};
+    epoll_ctl(link->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
 static connection_t *
 connect_to(bv_link_t *link, const command_t *command)
 {
@@ -116,6 +138,8 @@
         bv_log(BV_LOG_WARN, "peer_connect_failed", "member", command->member,
                "endpoint", endpoint, "error", zmq_strerror(zmq_errno()), NULL);
     }
+    connection->epoll_fd = link->epoll_fd;
+    watch_fd(link, descriptor_of(connection->socket), connection);
     g_hash_table_replace(link->connections, connection->member, connection);
     return connection;
 }
@@ -165,55 +189,6 @@
                                                               : NULL;
 }
 
-static void
-send_body(void *socket, const bv_peer_message_t *message)
-{
-    GBytes *bytes = bv_peer_message_encode(message);
-    gsize size;
-    const void *data = g_bytes_get_data(bytes, &size);
-    if (zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0) {
-        bv_counter_add(BV_COUNT_PEER_SENT, 1);
-    }
-    g_bytes_unref(bytes);
-}
-
-static void
-send_answer(bv_link_t *link, const bv_peer_message_t *message)
-{
-    gsize size;
-    const void *route = g_bytes_get_data(message->route, &size);
-    if (zmq_send(link->router, route, size, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
-        return;
-    }
-    send_body(link->router, message);
-}
-
-static void
-send_message(bv_link_t *link, const command_t *command)
-{
-    const connection_t *connection = connection_for(link, command);
-    if (connection != NULL) {
-        send_body(connection->socket, command->message);
-    }
-}
-
-static void
-run_command(bv_link_t *link, command_t *command)
-{
-    switch (command->kind) {
-    case COMMAND_SEND:
-        send_message(link, command);
-        break;
-    case COMMAND_ANSWER:
-        send_answer(link, command->message);
-        break;
-    case COMMAND_FORGET:
-        g_hash_table_remove(link->connections, command->member);
-        break;
-    }
-    free_command(command);
-}
-
 static bool
 receive_frame(void *socket, zmq_msg_t *frame)
 {
@@ -294,51 +269,70 @@
 }
 
 static void
-add_poll_item(bv_link_t *link, void *socket, int fd)
+receive_all(bv_link_t *link, connection_t *connection)
 {
-    zmq_pollitem_t item = {.socket = socket, .fd = fd, .events = ZMQ_POLLIN};
-    g_array_append_val(link->poll_items, item);
+    if (connection == NULL) {
+        while (receive_routed(link)) {
+        }
+        return;
+    }
+    while (receive_direct(link, connection)) {
+    }
 }
 
 static void
-poll_connection(bv_link_t *link, connection_t *connection)
+send_body(void *socket, const bv_peer_message_t *message)
 {
-    add_poll_item(link, connection->socket, 0);
-    g_ptr_array_add(link->poll_connections, connection);
+    GBytes *bytes = bv_peer_message_encode(message);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    if (zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0) {
+        bv_counter_add(BV_COUNT_PEER_SENT, 1);
+    }
+    g_bytes_unref(bytes);
 }
 
 static void
-build_poll(bv_link_t *link)
+send_answer(bv_link_t *link, const bv_peer_message_t *message)
 {
-    g_array_set_size(link->poll_items, 0);
-    g_ptr_array_set_size(link->poll_connections, 0);
-    add_poll_item(link, NULL, bv_ring_fd(link->ring));
-    add_poll_item(link, link->router, 0);
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, link->connections);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        poll_connection(link, value);
-    }
-    for (GList *item = link->retired.head; item != NULL; item = item->next) {
-        poll_connection(link, item->data);
+    gsize size;
+    const void *route = g_bytes_get_data(message->route, &size);
+    if (zmq_send(link->router, route, size, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+        return;
     }
+    send_body(link->router, message);
+    receive_all(link, NULL);
 }
 
+/*
+ * Sending may take the signal that something can be received, so that a look
+ * follows each send.
+ */
 static void
-receive_ready(bv_link_t *link)
+send_message(bv_link_t *link, const command_t *command)
 {
-    const zmq_pollitem_t *items = (zmq_pollitem_t *)link->poll_items->data;
-    if (items[1].revents & ZMQ_POLLIN) {
-        while (receive_routed(link)) {
-        }
+    connection_t *connection = connection_for(link, command);
+    if (connection != NULL) {
+        send_body(connection->socket, command->message);
+        receive_all(link, connection);
     }
-    for (guint i = 0; i < link->poll_connections->len; i++) {
-        if (items[2 + i].revents & ZMQ_POLLIN) {
-            while (receive_direct(link, link->poll_connections->pdata[i])) {
-            }
-        }
+}
+
+static void
+run_command(bv_link_t *link, command_t *command)
+{
+    switch (command->kind) {
+    case COMMAND_SEND:
+        send_message(link, command);
+        break;
+    case COMMAND_ANSWER:
+        send_answer(link, command->message);
+        break;
+    case COMMAND_FORGET:
+        g_hash_table_remove(link->connections, command->member);
+        break;
     }
+    free_command(command);
 }
 
 static void
@@ -354,20 +348,32 @@
     }
 }
 
+/* `source` is a connection, the link for its ROUTER, or NULL for the ring. */
+static void
+take_event(bv_link_t *link, void *source)
+{
+    if (source == link) {
+        receive_all(link, NULL);
+    }
+    else if (source != NULL) {
+        receive_all(link, source);
+    }
+}
+
 static void *APR_THREAD_FUNC
 link_run(apr_thread_t *thread, void *data)
 {
     (void)thread;
     bv_link_t *link = data;
     while (!g_atomic_int_get(&link->stopping)) {
-        close_idle(link);
-        build_poll(link);
-        long timeout_ms = link->retired.length > 0 ? RETIRED_CHECK_MS : -1;
-        int ready = zmq_poll((zmq_pollitem_t *)link->poll_items->data,
-                             (int)link->poll_items->len, timeout_ms);
-        if (ready > 0) {
-            receive_ready(link);
+        struct epoll_event events[EVENTS_AT_ONCE];
+        int timeout_ms = link->retired.length > 0 ? RETIRED_CHECK_MS : -1;
+        int count =
+            epoll_wait(link->epoll_fd, events, EVENTS_AT_ONCE, timeout_ms);
+        for (int i = 0; i < count; i++) {
+            take_event(link, events[i].data.ptr);
         }
+        close_idle(link);
         drain_ring(link);
     }
     return NULL;
@@ -397,8 +403,9 @@
     link->connections =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_connection);
     g_queue_init(&link->retired);
-    link->poll_items = g_array_new(FALSE, TRUE, sizeof(zmq_pollitem_t));
-    link->poll_connections = g_ptr_array_new();
+    link->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    watch_fd(link, bv_ring_fd(link->ring), NULL);
+    watch_fd(link, descriptor_of(link->router), link);
     apr_thread_create(&link->thread, NULL, link_run, link, pool);
     return link;
 }
@@ -413,10 +420,9 @@
     drain_ring(link);
     g_hash_table_destroy(link->connections);
     g_queue_clear_full(&link->retired, free_connection);
-    g_array_unref(link->poll_items);
-    g_ptr_array_unref(link->poll_connections);
     zmq_close(link->router);
     zmq_ctx_term(link->zmq);
+    close(link->epoll_fd);
 }
 
 static bool
