Survive SIGHUP; log decisions within a budget; find members by ranges and seeds

Change: SIGHUP reads the settings again and takes over what may change; one range read finds members, seeds are pinged directly, a leaving node drops its row; decisions are logged with the request's id and inputs, by class within a budget, in gathered writes to standard output.

--- a/bench/naive/main.c
+++ b/bench/naive/main.c
@@ -15,8 +15,9 @@
     "queue and a fixed number of retries. For benchmarks only.";
 
 static void
-on_signal(void *context)
+on_signal(void *context, int number)
 {
+    (void)number;
     naive_t *naive = context;
     g_atomic_int_set(&naive->stopping, 1);
     bv_ring_wake(naive->events);
--- a/common/log.c
+++ b/common/log.c
@@ -5,13 +5,16 @@
 #include "berylvane/common/ring.h"
 
 #include <apr_thread_proc.h>
+#include <errno.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #define LOG_RING_CAPACITY 4096
-#define LOG_WAIT_US (BV_US_PER_S / 5)
+/* Lines of this time share a write. */
+#define GATHER_US (BV_US_PER_S / 20)
+#define WRITE_BYTES 32768
 
 static struct {
     apr_pool_t *pool;
@@ -20,6 +23,8 @@
     char *program;
     char *name;
     bv_log_level_t least;
+    /* Dropped lines that were told of. */
+    uint64_t reported;
     gint stopping;
 } logger;
 
@@ -36,13 +41,40 @@
     return -1;
 }
 
+/* May wait for a slow reader; the ring fills meanwhile and drops lines. */
 static void
-write_line(char *line)
+write_all(const GString *text)
 {
-    size_t length = strlen(line);
-    ssize_t written = write(STDERR_FILENO, line, length);
-    (void)written;
-    g_free(line);
+    size_t done = 0;
+    while (done < text->len) {
+        ssize_t written =
+            write(STDOUT_FILENO, text->str + done, text->len - done);
+        if (written < 0 && errno != EINTR) {
+            return;
+        }
+        done += written > 0 ? (size_t)written : 0;
+    }
+}
+
+static void
+report_dropped(void)
+{
+    uint64_t dropped = bv_counter_get(BV_COUNT_LOG_DROPPED);
+    if (dropped != logger.reported) {
+        bv_log(BV_LOG_WARN, "lines_dropped", "lines",
+               BV_NUM((gint64)(dropped - logger.reported)), NULL);
+        logger.reported = dropped;
+    }
+}
+
+static void
+gather(GString *text, char *line)
+{
+    while (line != NULL) {
+        g_string_append(text, line);
+        g_free(line);
+        line = text->len < WRITE_BYTES ? bv_ring_pop(logger.ring) : NULL;
+    }
 }
 
 static void *APR_THREAD_FUNC
@@ -50,16 +82,21 @@
 {
     (void)thread;
     (void)data;
+    GString *text = g_string_sized_new(WRITE_BYTES);
     for (;;) {
-        char *line = bv_ring_wait(logger.ring, LOG_WAIT_US);
-        if (line != NULL) {
-            write_line(line);
-            continue;
-        }
-        if (g_atomic_int_get(&logger.stopping)) {
+        char *line = bv_ring_wait(logger.ring, -1);
+        if (line == NULL && g_atomic_int_get(&logger.stopping)) {
             break;
         }
+        gather(text, line);
+        write_all(text);
+        g_string_truncate(text, 0);
+        report_dropped();
+        if (!g_atomic_int_get(&logger.stopping)) {
+            usleep(GATHER_US);
+        }
     }
+    g_string_free(text, TRUE);
     return NULL;
 }
 
--- a/common/program.c
+++ b/common/program.c
@@ -10,7 +10,7 @@
 
 static struct {
     apr_thread_mutex_t *mutex;
-    void (*on_signal)(void *context);
+    void (*on_signal)(void *context, int number);
     void *context;
 } watch;
 
@@ -21,6 +21,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -54,10 +55,10 @@
     (void)thread;
     (void)data;
     for (;;) {
-        bv_program_wait_signal();
+        int number = bv_program_wait_signal();
         apr_thread_mutex_lock(watch.mutex);
         if (watch.on_signal != NULL) {
-            watch.on_signal(watch.context);
+            watch.on_signal(watch.context, number);
         }
         apr_thread_mutex_unlock(watch.mutex);
     }
@@ -65,7 +66,8 @@
 }
 
 void
-bv_program_on_signal(apr_pool_t *pool, void (*on_signal)(void *context),
+bv_program_on_signal(apr_pool_t *pool,
+                     void (*on_signal)(void *context, int number),
                      void *context)
 {
     apr_thread_t *thread;
--- a/core/membership.c
+++ b/core/membership.c
@@ -277,9 +277,29 @@
                           uint32_t slots)
 {
     bv_member_t *self = &membership->self.member;
+    if (self->slots == slots && strcmp(self->service, service) == 0) {
+        return;
+    }
     g_strlcpy(self->service, service, BV_NAME_BYTES);
     self->slots = slots;
     membership_announce_self(membership);
+    membership_tell_many(membership);
+}
+
+void
+bv_membership_contact(bv_membership_t *membership, const char *address,
+                      uint16_t gossip_port)
+{
+    bv_member_t contact = {.gossip_port = gossip_port};
+    g_strlcpy(contact.address, address, BV_ADDRESS_BYTES);
+    membership_send(membership, &contact, BV_GOSSIP_PING,
+                    ++membership->sequence, NULL);
+}
+
+void
+bv_membership_tell(bv_membership_t *membership)
+{
+    membership_tell_many(membership);
 }
 
 void
--- a/core/request.c
+++ b/core/request.c
@@ -353,6 +353,12 @@
     return request->count;
 }
 
+uint32_t
+bv_request_count(const bv_request_t *request)
+{
+    return request->count;
+}
+
 void *
 bv_request_call(const bv_request_t *request)
 {
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -80,7 +80,7 @@
 ctl_store_scan(ctl_store_t *store, const char *prefix)
 {
     wait_t wait = {.store = store};
-    bool sent = bv_store_scan(store->store, prefix, 0, on_done, &wait);
+    bool sent = bv_store_scan(store->store, prefix, NULL, 0, on_done, &wait);
     return wait_for(&wait, sent);
 }
 
--- a/include/berylvane/common/program.h
+++ b/include/berylvane/common/program.h
@@ -14,17 +14,21 @@
 #define BV_EXIT_USAGE 2
 
 /*
- * Initialises the libraries, ignores SIGPIPE and blocks SIGTERM and SIGINT in
- * this and all later threads, for bv_program_wait_signal(). Returns the
- * program's pool.
+ * Initialises the libraries, ignores SIGPIPE and blocks SIGTERM, SIGINT and
+ * SIGHUP in this and all later threads, for bv_program_wait_signal(). Returns
+ * the program's pool.
  */
 apr_pool_t *bv_program_start(void);
 
-/* Waits for SIGTERM or SIGINT; returns its number. */
+/* Waits for SIGTERM, SIGINT or SIGHUP; returns its number. */
 int bv_program_wait_signal(void);
 
-/* Calls `on_signal` on a thread of its own at each SIGTERM or SIGINT. */
-void bv_program_on_signal(apr_pool_t *pool, void (*on_signal)(void *context),
+/*
+ * Calls `on_signal` on a thread of its own at each SIGTERM, SIGINT or SIGHUP,
+ * with the signal's number.
+ */
+void bv_program_on_signal(apr_pool_t *pool,
+                          void (*on_signal)(void *context, int number),
                           void *context);
 
 /* Ends the calls of `on_signal`; call before its context goes away. */
--- a/include/berylvane/core/membership.h
+++ b/include/berylvane/core/membership.h
@@ -112,6 +112,10 @@
 void bv_membership_learn(bv_membership_t *membership, int64_t now_us,
                          const bv_member_t *record);
 
+/* Pings an address that may be a member's; its answer makes it known. */
+void bv_membership_contact(bv_membership_t *membership, const char *address,
+                           uint16_t gossip_port);
+
 /* Handles a packet from the member called `from`. */
 bv_gossip_verdict_t bv_membership_packet(bv_membership_t *membership,
                                          int64_t now_us,
@@ -119,8 +123,9 @@
                                          const bv_gossip_packet_t *packet);
 
 /*
- * Changes the own record: target announced, draining or left. Draining and
- * left are told to many members at once, not only by the next probes.
+ * Changes the own record: target announced, draining or left. A change of the
+ * target, draining and left are told to many members at once, not only by the
+ * next probes.
  */
 void bv_membership_self_state(bv_membership_t *membership,
                               bv_member_state_t state);
@@ -129,6 +134,9 @@
 void bv_membership_self_config(bv_membership_t *membership,
                                uint64_t generation, uint64_t digest);
 
+/* Tells many members at once what is in force here. */
+void bv_membership_tell(bv_membership_t *membership);
+
 void bv_membership_tick(bv_membership_t *membership, int64_t now_us);
 int64_t bv_membership_due_us(const bv_membership_t *membership);
 
--- a/include/berylvane/core/request.h
+++ b/include/berylvane/core/request.h
@@ -150,6 +150,8 @@
 uint32_t bv_request_attempts(const bv_request_t *request,
                              const bv_attempt_t **attempts);
 
+uint32_t bv_request_count(const bv_request_t *request);
+
 /* The `call` of the options. */
 void *bv_request_call(const bv_request_t *request);
 
--- a/include/berylvane/core/router.h
+++ b/include/berylvane/core/router.h
@@ -36,6 +36,9 @@
     char address[BV_ADDRESS_BYTES];
     uint16_t peer_port;
     uint64_t incarnation;
+    /* The wait that it last reported, and how long ago. */
+    int64_t wait_us;
+    int64_t age_us;
 } bv_picked_t;
 
 /* What an answer tells of the member that gave it. */
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -55,6 +55,7 @@
     int64_t deadline_us;
     int64_t started_us;
     int64_t arrived_wall_us;
+    int64_t arrived_us;
     bool started;
     /* It holds a slot of admission. */
     bool admitted;
--- a/include/berylvane/node/journal.h
+++ b/include/berylvane/node/journal.h
@@ -23,6 +23,8 @@
     BV_DECISION_ANSWERED,
     BV_DECISION_ADMITTED,
     BV_DECISION_REFUSED,
+    /* The target answered, or will not. */
+    BV_DECISION_SERVED,
     BV_DECISION_MEMBER,
     BV_DECISION_ADOPTED,
     BV_DECISION_REJECTED,
@@ -39,8 +41,19 @@
     bv_outcome_t outcome;
     /* Generation, status or state, by kind. */
     int64_t number;
+    /* For the log: the caller's name for the request, or NULL; */
+    const char *label;
+    /* attempts so far, time until the deadline and since the arrival; */
+    uint32_t attempts;
+    int64_t left_us;
+    int64_t took_us;
+    /* the wait that was expected, and how old that word was. */
+    int64_t wait_us;
+    int64_t age_us;
 } bv_decision_t;
 
+const char *bv_decision_name(bv_decision_kind_t kind);
+
 bv_journal_t *bv_journal_create(uint32_t capacity);
 void bv_journal_destroy(bv_journal_t *journal);
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -10,6 +10,7 @@
 #include "berylvane/core/config.h"
 #include "berylvane/core/config_spread.h"
 #include "berylvane/core/credit.h"
+#include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/outgoing.h"
 #include "berylvane/core/parts.h"
@@ -86,12 +87,16 @@
     bool asking;
 } bv_config_watch_t;
 
-/* When the own row is renewed and other rows are read, a page at a time. */
+/* When the own row is renewed, other rows are read and seeds are asked. */
 typedef struct {
     int64_t renew_due_us;
     int64_t scan_due_us;
-    uint32_t next_page;
-    uint32_t pages_read;
+    int64_t seed_due_us;
+    /* Start of the range that is read next, as the digest of a name. */
+    uint32_t from;
+    /* A range was read; the first range was. */
+    bool answered;
+    bool walked;
 } bv_rendezvous_t;
 
 struct bv_node {
@@ -135,6 +140,8 @@
     bv_membership_t *membership;
     bv_local_target_t target;
     bv_journal_t *journal;
+    bv_log_budget_t log_budget;
+    int64_t left_out_due_us;
 
     /* Caller side: calls by tag, and the call of each attempt. */
     GHashTable *calls;
@@ -173,6 +180,9 @@
 /* Asks for a drain; safe in a signal handler's thread. */
 void bv_node_request_drain(bv_node_t *node);
 
+/* Asks for the settings to be read again; likewise. */
+void bv_node_request_reload(bv_node_t *node);
+
 /* Hands an event to the decision thread; false when the ring is full. */
 bool bv_node_post(bv_node_t *node, void (*run)(bv_node_t *, void *),
                   void *data);
@@ -240,12 +250,15 @@
 bool bv_node_ready(const bv_node_t *node);
 void bv_readiness_answer(bv_node_t *node, bv_call_t *call);
 
+/* reload: reads the settings file again and puts in force what may change. */
+void bv_node_reload(bv_node_t *node);
+
 /* rendezvous: the rows in the table by which nodes find each other. */
 void bv_rendezvous_create(bv_node_t *node);
 void bv_rendezvous_tick(bv_node_t *node);
 
-/* Has the own row written at the next tick. */
-void bv_rendezvous_renew(bv_node_t *node);
+/* Drops the own row: the node leaves for good. */
+void bv_rendezvous_withdraw(bv_node_t *node);
 
 /* configs: learning and adopting configurations. */
 void bv_configs_create(bv_node_t *node);
@@ -280,8 +293,9 @@
 /* status: answers to operators. */
 void bv_status_query(bv_node_t *node, void *call);
 
-/* Writes a decision to the journal. */
+/* decisions: the journal and the log of decisions. */
 void bv_node_decided(bv_node_t *node, const bv_decision_t *decision);
+void bv_decisions_tick(bv_node_t *node);
 
 /* Counts a decision under its reason. */
 void bv_node_count_reason(bv_reason_t reason);
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -20,6 +20,8 @@
 } bv_dialect_name_t;
 
 typedef struct {
+    /* The file that the settings came from. */
+    char *path;
     char *name;
     char *data_centre;
     char *region;
@@ -80,6 +82,12 @@
 
 /* Reads a settings file; NULL when there are findings. */
 bv_settings_t *bv_settings_load(const char *path, bv_findings_t *findings);
+/*
+ * Reads the file again and takes over what may change while the node runs:
+ * numbers, seeds and policy. Names, addresses, ports and keys need a restart;
+ * a change of them is left alone. With findings nothing changes.
+ */
+void bv_settings_reload(bv_settings_t *settings, bv_findings_t *findings);
 void bv_settings_destroy(bv_settings_t *settings);
 
 #endif
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -42,7 +42,7 @@
 
 /*
  * One message. Which fields count depends on the kind:
- * DISPATCH     request..remaining_us, method, host, path, headers, key, customer,
+ * DISPATCH     request..remaining_us, method, host, path, headers, key, customer, label,
  *              span, body
  * ANSWER       attempt, outcome, reason, status, headers, credit, threshold,
  *              wait_us, digest, body
@@ -90,6 +90,8 @@
     char *headers;
     char *key;
     char *customer;
+    /* The caller's own name for the call, for logs; may be NULL. */
+    char *label;
     /* W3C trace context of the sending span. */
     char *span;
     GBytes *body;
--- a/include/berylvane/platform/store.h
+++ b/include/berylvane/platform/store.h
@@ -57,8 +57,8 @@
 void bv_store_stop(bv_store_t *store);
 
 /*
- * Writes rows. An operation is an object with "op" (insert, put, update,
- * delete), "key", "value" and, for update and delete, the expected "revision".
+ * Writes rows. An operation is an object with "op" (insert, put, drop,
+ * update, delete), "key", "value" and, for update and delete, the expected "revision".
  * With `atomic`, one failed condition undoes all; otherwise those whose
  * conditions hold are written, in as few transactions as that takes. The
  * answer's "results" are in order: {"ok", "revision", "value"} with the row as
@@ -70,14 +70,15 @@
                     bv_store_done_t done, void *context);
 
 /*
- * Reads a row, or all rows whose key starts with `prefix`, up to `limit` (0:
- * all). The answer's "rows" are {"key", "value", "revision"} in the order of
+ * Reads a row, or the rows whose key starts with `prefix`: all of them with a
+ * `limit` of 0; else so many, from the key `prefix` + `from` on (NULL: the
+ * first). The answer's "rows" are {"key", "value", "revision"} in the order of
  * keys; "version" is the store's newest one.
  */
 bool bv_store_read(bv_store_t *store, const char *key, bv_store_done_t done,
                    void *context);
-bool bv_store_scan(bv_store_t *store, const char *prefix, uint32_t limit,
-                   bv_store_done_t done, void *context);
+bool bv_store_scan(bv_store_t *store, const char *prefix, const char *from,
+                   uint32_t limit, bv_store_done_t done, void *context);
 
 /*
  * Waits up to `wait_us` for rows of `table` that changed after `version`. The
@@ -97,6 +98,7 @@
 json_t *bv_store_op_insert(const char *key, json_t *value);
 json_t *bv_store_op_put(const char *key, json_t *value);
 json_t *bv_store_op_update(const char *key, json_t *value, int64_t revision);
+json_t *bv_store_op_drop(const char *key);
 json_t *bv_store_op_delete(const char *key, int64_t revision);
 
 #endif
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -34,6 +34,7 @@
     message->headers = g_strdup(call->headers);
     message->key = g_strdup(state->key);
     message->customer = g_strdup(state->customer);
+    message->label = g_strdup(call->label);
     message->span =
         state->traced ? g_strdup(bv_trace_text(&state->trace, span)) : NULL;
     message->body = g_bytes_ref(call->body);
@@ -89,6 +90,12 @@
         .kind = decision_kinds[kind],
         .request = state->id,
         .subject = picked.name,
+        .label = state->call->label,
+        .attempts = bv_request_count(request),
+        .left_us = state->deadline_us - node->now_us,
+        .took_us = node->now_us - state->call->arrived_us,
+        .wait_us = picked.wait_us,
+        .age_us = picked.age_us,
     };
     bv_node_decided(node, &decision);
     bv_outgoing_sent(node->outgoing, node->now_us, picked.name);
@@ -101,6 +108,7 @@
 on_fence(void *context, bv_request_t *request, const bv_attempt_t *attempt)
 {
     bv_node_t *node = context;
+    const bv_call_state_t *state = bv_request_call(request);
     bv_peer_message_t *message = bv_peer_message_create(BV_PEER_FENCE);
     message->to_incarnation = attempt->incarnation;
     message->attempt = attempt->id;
@@ -111,8 +119,12 @@
     bv_counter_add(BV_COUNT_FENCES, 1);
     bv_decision_t decision = {
         .kind = BV_DECISION_FENCED,
-        .request = ((bv_call_state_t *)bv_request_call(request))->id,
+        .request = state->id,
         .subject = attempt->member,
+        .label = state->call->label,
+        .attempts = bv_request_count(request),
+        .left_us = state->deadline_us - node->now_us,
+        .took_us = node->now_us - attempt->sent_us,
     };
     bv_node_decided(node, &decision);
     bv_peers_send(node, attempt->member, message);
--- a/node/calls.c
+++ b/node/calls.c
@@ -112,6 +112,11 @@
         .reason = reply->reason,
         .outcome = reply->outcome,
         .number = reply->status,
+        .label = state->call->label,
+        .attempts =
+            state->request != NULL ? bv_request_count(state->request) : 0,
+        .left_us = state->deadline_us - node->now_us,
+        .took_us = node->now_us - state->call->arrived_us,
     };
     bv_node_decided(node, &decision);
     export_span(node, state, reply);
@@ -189,9 +194,12 @@
     state->id = bv_id_random(node->random);
     uint32_t credits = state->bypass ? 0 : state->config->retry_credits;
     bv_credits_open(node->credits, &state->id, credits);
-    const char *customer = state->customer != NULL ? state->customer : "";
-    state->priority =
-        bv_priority(state->route->importance, bv_customer_level(customer));
+    /* Where there are no client accounts, shedding is spread over calls. */
+    const char *account =
+        state->customer != NULL ? state->customer : state->call->label;
+    state->priority = bv_priority(
+        state->route->importance,
+        bv_customer_level(account != NULL ? account : ""));
 }
 
 static void
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -5,10 +5,11 @@
 #include <string.h>
 
 /*
- * How long one watch waits: a connection that fell silent is noticed after
- * this and the store's time limit.
+ * How long one watch waits. A connection that fell silent is noticed after it;
+ * since nodes wait for unequal times, some notice soon and tell the others.
  */
-#define WATCH_US (4 * BV_US_PER_S)
+#define WATCH_LEAST_US (4 * BV_US_PER_S)
+#define WATCH_MOST_US (20 * BV_US_PER_S)
 #define PAUSE_LEAST_US (BV_US_PER_S / 5)
 #define PAUSE_MOST_US (2 * BV_US_PER_S)
 
@@ -84,8 +85,10 @@
         return bv_store_read(node->store, key, on_answer, node);
     }
     char *table = g_strndup(key, strcspn(key, "/"));
+    int64_t wait_us = (int64_t)g_rand_double_range(
+        node->random, WATCH_LEAST_US, WATCH_MOST_US);
     bool sent = bv_store_watch(node->store, table, node->config_watch.version,
-                               WATCH_US, on_answer, node);
+                               wait_us, on_answer, node);
     g_free(table);
     return sent;
 }
--- a/node/configs.c
+++ b/node/configs.c
@@ -245,8 +245,13 @@
     if (newest) {
         bv_config_spread_head(node->configs, node->now_us, &version);
     }
-    return bv_config_spread_body(node->configs, node->now_us, generation,
-                                 body);
+    uint64_t before = bv_config_spread_in_force(node->configs)->generation;
+    bool taken = bv_config_spread_body(node->configs, node->now_us, generation,
+                                       body);
+    if (bv_config_spread_in_force(node->configs)->generation > before) {
+        bv_membership_tell(node->membership);
+    }
+    return taken;
 }
 
 bool
--- /dev/null
+++ b/node/decisions.c
@@ -0,0 +1,94 @@
+#include "berylvane/common/clock.h"
+#include "berylvane/common/log.h"
+#include "berylvane/node/node.h"
+
+/* How often it is told how many lines were left out. */
+#define LEFT_OUT_US (5 * BV_US_PER_S)
+
+static bv_log_class_t
+class_of_outcome(const bv_decision_t *decision)
+{
+    if (decision->outcome == BV_OUTCOME_NOT_RUN) {
+        return BV_LOG_CLASS_REFUSAL;
+    }
+    bool good =
+        decision->outcome == BV_OUTCOME_RAN && decision->number < 500;
+    return good ? BV_LOG_CLASS_SUCCESS : BV_LOG_CLASS_FAILURE;
+}
+
+static bv_log_class_t
+class_of(const bv_decision_t *decision)
+{
+    switch (decision->kind) {
+    case BV_DECISION_ROUTED:
+    case BV_DECISION_ADMITTED:
+        return BV_LOG_CLASS_SUCCESS;
+    case BV_DECISION_ANSWERED:
+    case BV_DECISION_SERVED:
+        return class_of_outcome(decision);
+    case BV_DECISION_FENCED:
+        return BV_LOG_CLASS_FAILURE;
+    default:
+        return BV_LOG_CLASS_REFUSAL;
+    }
+}
+
+/* Members, configurations and the target have log lines of their own. */
+static bool
+is_about_request(const bv_decision_t *decision)
+{
+    return decision->kind < BV_DECISION_MEMBER;
+}
+
+static void
+log_decision(const bv_node_t *node, const bv_decision_t *decision)
+{
+    char id[BV_ID_TEXT_BYTES];
+    uint64_t generation =
+        node->config != NULL ? node->config->generation : 0;
+    bv_log(BV_LOG_INFO, bv_decision_name(decision->kind), "request",
+           decision->label, "id", bv_id_text(&decision->request, id),
+           "subject", decision->subject, "reason",
+           bv_reason_name(decision->reason), "outcome",
+           bv_outcome_name(decision->outcome), "status",
+           BV_NUM(decision->number), "attempts", BV_NUM(decision->attempts),
+           "left_us", BV_NUM(decision->left_us), "took_us",
+           BV_NUM(decision->took_us), "wait_us", BV_NUM(decision->wait_us),
+           "age_us", BV_NUM(decision->age_us), "config",
+           BV_NUM((gint64)generation), NULL);
+}
+
+static void
+report_left_out(bv_node_t *node)
+{
+    bv_log_budget_t *budget = &node->log_budget;
+    for (int i = 0; i < BV_LOG_CLASS_END; i++) {
+        if (budget->left_out[i] == 0) {
+            continue;
+        }
+        bv_log(BV_LOG_INFO, "decisions_left_out", "class",
+               bv_log_class_name((bv_log_class_t)i), "lines",
+               BV_NUM((gint64)budget->left_out[i]), NULL);
+        budget->left_out[i] = 0;
+    }
+}
+
+void
+bv_decisions_tick(bv_node_t *node)
+{
+    if (node->now_us >= node->left_out_due_us) {
+        node->left_out_due_us = node->now_us + LEFT_OUT_US;
+        report_left_out(node);
+    }
+}
+
+void
+bv_node_decided(bv_node_t *node, const bv_decision_t *decision)
+{
+    bv_journal_add(node->journal, bv_clock_wall_us(), decision);
+    if (is_about_request(decision) && node->settings->log_level <= 1 &&
+        bv_log_budget_take(&node->log_budget, node->now_us,
+                           class_of(decision))) {
+        log_decision(node, decision);
+    }
+}
--- a/node/drain.c
+++ b/node/drain.c
@@ -23,7 +23,6 @@
     enter(node, BV_DRAIN_NOTICE);
     bv_membership_self_state(node->membership, BV_MEMBER_DRAINING);
     bv_router_update(node->router, bv_membership_self(node->membership));
-    bv_rendezvous_renew(node);
     bv_log(BV_LOG_INFO, "drain_started", "calls", BV_NUM(bv_calls_count(node)),
            "served", BV_NUM(bv_serve_count(node)), NULL);
 }
@@ -59,7 +58,7 @@
     }
     enter(node, BV_DRAIN_LINGER);
     bv_membership_self_state(node->membership, BV_MEMBER_LEFT);
-    bv_rendezvous_renew(node);
+    bv_rendezvous_withdraw(node);
 }
 
 void
--- a/node/journal.c
+++ b/node/journal.c
@@ -24,10 +24,17 @@
     [BV_DECISION_REROUTED] = "rerouted", [BV_DECISION_HEDGED] = "hedged",
     [BV_DECISION_FENCED] = "fenced",     [BV_DECISION_CANCELLED] = "cancelled",
     [BV_DECISION_ANSWERED] = "answered", [BV_DECISION_ADMITTED] = "admitted",
-    [BV_DECISION_REFUSED] = "refused",   [BV_DECISION_MEMBER] = "member",
+    [BV_DECISION_REFUSED] = "refused",   [BV_DECISION_SERVED] = "served",
+    [BV_DECISION_MEMBER] = "member",
     [BV_DECISION_ADOPTED] = "adopted",   [BV_DECISION_REJECTED] = "rejected",
 };
 
+const char *
+bv_decision_name(bv_decision_kind_t kind)
+{
+    return kind_names[kind];
+}
+
 bv_journal_t *
 bv_journal_create(uint32_t capacity)
 {
--- a/node/main.c
+++ b/node/main.c
@@ -4,6 +4,7 @@
 #include "berylvane/platform/dialect.h"
 
 #include <argp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -48,8 +49,12 @@
 };
 
 static void
-on_signal(void *context)
+on_signal(void *context, int number)
 {
+    if (number == SIGHUP) {
+        bv_node_request_reload(context);
+        return;
+    }
     bv_node_request_drain(context);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -45,12 +45,6 @@
     }
 }
 
-void
-bv_node_decided(bv_node_t *node, const bv_decision_t *decision)
-{
-    bv_journal_add(node->journal, bv_clock_wall_us(), decision);
-}
-
 static bool
 on_call(void *context, bv_call_t *call)
 {
@@ -279,6 +273,19 @@
     bv_node_deliver(node, take_drain, NULL);
 }
 
+static void
+take_reload(bv_node_t *node, void *data)
+{
+    (void)data;
+    bv_node_reload(node);
+}
+
+void
+bv_node_request_reload(bv_node_t *node)
+{
+    bv_node_deliver(node, take_reload, NULL);
+}
+
 static void
 run_loopback(bv_node_t *node)
 {
@@ -300,6 +307,7 @@
     bv_members_tick(node);
     bv_configs_tick(node);
     bv_drain_tick(node);
+    bv_decisions_tick(node);
     node->next_tick_us = node->now_us + TICK_US;
 }
 
--- /dev/null
+++ b/node/reload.c
@@ -0,0 +1,19 @@
+#include "berylvane/common/log.h"
+#include "berylvane/node/node.h"
+
+void
+bv_node_reload(bv_node_t *node)
+{
+    bv_findings_t *findings = bv_findings_create();
+    bv_settings_reload(node->settings, findings);
+    if (bv_findings_empty(findings)) {
+        bv_log(BV_LOG_INFO, "settings_reloaded", "file", node->settings->path,
+               NULL);
+    }
+    else {
+        char *problems = bv_findings_text(findings);
+        bv_log(BV_LOG_ERROR, "settings_rejected", "findings", problems, NULL);
+        g_free(problems);
+    }
+    bv_findings_destroy(findings);
+}
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -1,32 +1,29 @@
 #include "berylvane/common/clock.h"
+#include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
 #include <xxhash.h>
 
 /*
- * Rows lie in pages by the digest of their name, so that one page is a sample
- * of all members: a node that starts reads pages until it knows enough.
+ * Rows are ordered by the digest of their name, so that a range of keys is a
+ * sample of all members: a node that starts reads ranges until it knows
+ * enough.
  */
-#define PAGES 16
-#define PAGE_PREFIX_BYTES 16
-#define ENOUGH_MEMBERS 16
+#define TABLE_PREFIX "member/"
+#define RANGE_ROWS 64
 #define FEW_MEMBERS 4
-#define FIRST_WALK_US (BV_US_PER_S / 20)
-#define RETRY_US (BV_US_PER_S / 2)
+#define FIRST_RETRY_US (BV_US_PER_S / 4)
+#define RETRY_US BV_US_PER_S
+#define SEED_RETRY_US (BV_US_PER_S / 2)
 #define JITTER_LOW 0.8
 #define JITTER_HIGH 1.2
 
-static void
-page_prefix(uint32_t page, char prefix[PAGE_PREFIX_BYTES])
-{
-    g_snprintf(prefix, PAGE_PREFIX_BYTES, "member/%02x/", page);
-}
-
-static uint32_t
-page_of(const char *name)
+static char *
+key_of(const char *name)
 {
-    return (uint32_t)(XXH3_64bits(name, strlen(name)) % PAGES);
+    return g_strdup_printf(TABLE_PREFIX "%016" G_GINT64_MODIFIER "x/%s",
+                           (guint64)XXH3_64bits(name, strlen(name)), name);
 }
 
 static json_t *
@@ -124,18 +121,32 @@
 }
 
 static void
-take_rows(bv_node_t *node, void *data)
+learn(bv_node_t *node, const json_t *rows)
 {
-    json_t *answer = data;
     size_t index;
     json_t *row;
-    node->rendezvous.pages_read++;
-    json_array_foreach(json_object_get(answer, "rows"), index, row) {
+    json_array_foreach((json_t *)rows, index, row) {
         bv_member_t member;
         if (parse_row(json_object_get(row, "value"), &member)) {
             bv_membership_learn(node->membership, node->now_us, &member);
         }
     }
+}
+
+/* A range that is not full reaches the end: the next one is the first. */
+static void
+take_rows(bv_node_t *node, void *data)
+{
+    json_t *answer = data;
+    const json_t *rows = json_object_get(answer, "rows");
+    bv_rendezvous_t *rendezvous = &node->rendezvous;
+    rendezvous->walked |= rendezvous->from == 0;
+    rendezvous->from = 0;
+    rendezvous->answered = true;
+    learn(node, rows);
+    if (!rendezvous->walked && json_array_size(rows) < RANGE_ROWS) {
+        rendezvous->scan_due_us = node->now_us;
+    }
     json_decref(answer);
 }
 
@@ -151,7 +162,10 @@
 on_row_written(void *context, bv_store_answer_t *answer)
 {
     (void)context;
-    (void)answer;
+    if (answer->result != BV_STORE_OK) {
+        bv_log(BV_LOG_WARN, "row_not_written", "result",
+               BV_NUM(answer->result), NULL);
+    }
 }
 
 static int64_t
@@ -171,26 +185,25 @@
 write_row(bv_node_t *node)
 {
     const bv_member_t *self = bv_membership_self(node->membership);
-    char prefix[PAGE_PREFIX_BYTES];
-    page_prefix(page_of(self->name), prefix);
-    char *key = g_strconcat(prefix, self->name, NULL);
+    char *key = key_of(self->name);
     json_t *operations = json_array();
     json_array_append_new(operations, bv_store_op_put(key, render_row(self)));
     g_free(key);
-    bv_store_write(node->store, operations, false, on_row_written, NULL);
+    bv_store_write(node->store, operations, true, on_row_written, NULL);
 }
 
 static void
-read_page(bv_node_t *node)
+read_range(bv_node_t *node)
 {
-    bv_rendezvous_t *rendezvous = &node->rendezvous;
-    char prefix[PAGE_PREFIX_BYTES];
-    page_prefix(rendezvous->next_page++ % PAGES, prefix);
-    bv_store_scan(node->store, prefix, 0, on_scan, node);
+    char from[24];
+    g_snprintf(from, sizeof(from), "%08x", node->rendezvous.from);
+    bv_store_scan(node->store, TABLE_PREFIX,
+                  node->rendezvous.from == 0 ? NULL : from, RANGE_ROWS,
+                  on_scan, node);
 }
 
 /*
- * Quickly at first, until enough members are known or all pages were read;
+ * Quickly at first, until enough members are known or all rows were read;
  * slowly when few are known; else seldom, so that two groups of nodes that
  * started apart find each other.
  */
@@ -198,26 +211,49 @@
 next_scan_us(const bv_node_t *node)
 {
     uint32_t present = bv_membership_present(node->membership);
-    if (node->rendezvous.pages_read < PAGES && present < ENOUGH_MEMBERS) {
-        bool answered = node->rendezvous.pages_read > 0;
-        return answered ? FIRST_WALK_US : RETRY_US;
+    if (!node->rendezvous.answered) {
+        return FIRST_RETRY_US;
     }
     if (present < FEW_MEMBERS) {
         return MIN(period_us(node), RETRY_US);
     }
-    return period_us(node) * PAGES;
+    return period_us(node);
+}
+
+/* Seeds are control endpoints; gossip has the same port on all instances. */
+static void
+contact_seeds(bv_node_t *node)
+{
+    size_t index;
+    json_t *seed;
+    json_array_foreach(node->settings->seeds, index, seed) {
+        const char *text = json_string_value(seed);
+        const char *colon = text != NULL ? strchr(text, ':') : NULL;
+        if (colon == NULL) {
+            continue;
+        }
+        char *address = g_strndup(text, (gsize)(colon - text));
+        bv_membership_contact(node->membership, address,
+                              (uint16_t)node->settings->gossip_port);
+        g_free(address);
+    }
 }
 
 void
 bv_rendezvous_create(bv_node_t *node)
 {
-    node->rendezvous.next_page = g_rand_int(node->random);
+    node->rendezvous.from = g_rand_int(node->random) | 1;
 }
 
 void
-bv_rendezvous_renew(bv_node_t *node)
+bv_rendezvous_withdraw(bv_node_t *node)
 {
-    node->rendezvous.renew_due_us = node->now_us;
+    char *key = key_of(node->settings->name);
+    json_t *operations = json_array();
+    json_array_append_new(operations, bv_store_op_drop(key));
+    g_free(key);
+    node->rendezvous.renew_due_us = INT64_MAX;
+    bv_store_write(node->store, operations, true, on_row_written, NULL);
 }
 
 void
@@ -232,6 +268,12 @@
     if (node->now_us >= rendezvous->scan_due_us) {
         rendezvous->scan_due_us =
             node->now_us + jittered_us(node, next_scan_us(node));
-        read_page(node);
+        read_range(node);
+    }
+    if (node->now_us >= rendezvous->seed_due_us &&
+        bv_membership_present(node->membership) < FEW_MEMBERS) {
+        rendezvous->seed_due_us =
+            node->now_us + jittered_us(node, SEED_RETRY_US);
+        contact_seeds(node);
     }
 }
--- a/node/serve.c
+++ b/node/serve.c
@@ -71,6 +71,10 @@
         .request = dispatch->request,
         .subject = dispatch->from,
         .reason = reason,
+        .label = dispatch->label,
+        .left_us = dispatch->remaining_us,
+        .wait_us = bv_admission_wait_of_us(node->admission, 0, false),
+        .attempts = bv_admission_running(node->admission),
     };
     bv_node_decided(node, &decision);
     bv_peer_message_t *answer =
@@ -194,7 +198,10 @@
     bv_decision_t decision = {
         .kind = BV_DECISION_ADMITTED,
         .request = dispatch->request,
-        .subject = dispatch->from,
+        .subject = node->target.word.instance,
+        .label = dispatch->label,
+        .left_us = served->deadline_us - node->now_us,
+        .took_us = node->now_us - served->arrived_us,
     };
     bv_node_decided(node, &decision);
     served->started = true;
@@ -294,6 +301,7 @@
         served->mode = message->bypass ? BV_MODE_BYPASS : route->mode;
     }
     served->arrived_wall_us = bv_clock_wall_us();
+    served->arrived_us = node->now_us;
     if (bv_trace_parse(message->span, &parent)) {
         served->trace = bv_trace_child(&parent, node->random);
     }
@@ -448,6 +456,18 @@
         return;
     }
     const bv_peer_message_t *dispatch = served->dispatch;
+    bv_decision_t decision = {
+        .kind = BV_DECISION_SERVED,
+        .request = dispatch->request,
+        .subject = node->target.word.instance,
+        .reason = result->reason,
+        .outcome = result->outcome,
+        .number = result->status,
+        .label = dispatch->label,
+        .left_us = served->deadline_us - node->now_us,
+        .took_us = node->now_us - served->arrived_us,
+    };
+    bv_node_decided(node, &decision);
     if (result->reason == BV_REASON_CONNECT) {
         bv_target_unreachable(node);
     }
--- a/node/settings.c
+++ b/node/settings.c
@@ -224,6 +224,7 @@
         return NULL;
     }
     bv_settings_t *settings = g_new0(bv_settings_t, 1);
+    settings->path = g_strdup(path);
     settings->log_level = 1;
     settings->body_limit_bytes = 1048576;
     settings->trace_percent = 100;
@@ -250,6 +251,43 @@
     return settings;
 }
 
+static bool
+may_change(const bv_field_t *field)
+{
+    return (field->kind == BV_FIELD_INTEGER &&
+            !g_str_has_suffix(field->name, "_port")) ||
+           field->kind == BV_FIELD_JSON;
+}
+
+/* Swaps, so that the old value is freed with the file's other settings. */
+static void
+swap_field(const bv_field_t *field, bv_settings_t *left, bv_settings_t *right)
+{
+    char *a = (char *)left + field->offset;
+    char *b = (char *)right + field->offset;
+    uint8_t kept[sizeof(int64_t)];
+    size_t size = field->kind == BV_FIELD_JSON ? sizeof(json_t *)
+                                               : sizeof(int64_t);
+    memcpy(kept, a, size);
+    memcpy(a, b, size);
+    memcpy(b, kept, size);
+}
+
+void
+bv_settings_reload(bv_settings_t *settings, bv_findings_t *findings)
+{
+    bv_settings_t *read = bv_settings_load(settings->path, findings);
+    if (read == NULL) {
+        return;
+    }
+    for (const bv_field_t *field = fields; field->name != NULL; field++) {
+        if (may_change(field)) {
+            swap_field(field, settings, read);
+        }
+    }
+    bv_settings_destroy(read);
+}
+
 void
 bv_settings_destroy(bv_settings_t *settings)
 {
@@ -264,6 +302,7 @@
             json_decref(*(json_t **)((char *)settings + field->offset));
         }
     }
+    g_free(settings->path);
     g_free(settings->outside.address);
     g_free(settings->local.address);
     g_free(settings->control.address);
--- a/node/target.c
+++ b/node/target.c
@@ -23,7 +23,6 @@
     bv_membership_self_target(node->membership, target->word.service, slots);
     bv_router_update(node->router, bv_membership_self(node->membership));
     bv_members_configure_admission(node);
-    bv_rendezvous_renew(node);
 }
 
 void
--- a/peer/message.c
+++ b/peer/message.c
@@ -29,6 +29,7 @@
     g_free(message->headers);
     g_free(message->key);
     g_free(message->customer);
+    g_free(message->label);
     g_free(message->span);
     g_clear_pointer(&message->body, g_bytes_unref);
     g_clear_pointer(&message->route, g_bytes_unref);
@@ -45,6 +46,7 @@
     copy->headers = g_strdup(message->headers);
     copy->key = g_strdup(message->key);
     copy->customer = g_strdup(message->customer);
+    copy->label = g_strdup(message->label);
     copy->span = g_strdup(message->span);
     copy->body = message->body != NULL ? g_bytes_ref(message->body) : NULL;
     copy->route = message->route != NULL ? g_bytes_ref(message->route) : NULL;
@@ -115,6 +117,7 @@
     bv_pack_text(packer, message->headers);
     bv_pack_text(packer, message->key);
     bv_pack_text(packer, message->customer);
+    bv_pack_text(packer, message->label);
     bv_pack_text(packer, message->span);
 }
 
@@ -132,7 +135,7 @@
 }
 
 #define HEAD_FIELDS 7
-#define CALL_FIELDS 14
+#define CALL_FIELDS 15
 #define ANSWER_FIELDS 8
 #define MESSAGE_FIELDS (HEAD_FIELDS + CALL_FIELDS + ANSWER_FIELDS + 1)
 
@@ -190,6 +193,7 @@
     message->headers = bv_unpack_text(unpack, BV_PEER_HEADERS_LIMIT);
     message->key = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT);
     message->customer = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT);
+    message->label = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT);
     message->span = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT);
 }
 
--- a/standin/link/main.c
+++ b/standin/link/main.c
@@ -20,8 +20,9 @@
 }
 
 static void
-on_signal(void *context)
+on_signal(void *context, int number)
 {
+    (void)number;
     link_t *link = context;
     g_atomic_int_set(&link->stopping, 1);
 }
--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -61,8 +61,9 @@
 }
 
 static void
-on_signal(void *context)
+on_signal(void *context, int number)
 {
+    (void)number;
     service_t *service = context;
     g_atomic_int_set(&service->stopping, 1);
 }
--- a/standin/target/main.c
+++ b/standin/target/main.c
@@ -26,8 +26,9 @@
 }
 
 static void
-on_signal(void *context)
+on_signal(void *context, int number)
 {
+    (void)number;
     target_stop(context);
 }
 
