--- a/core/parts.c
+++ b/core/parts.c
@@ -4,8 +4,8 @@
 
 struct bv_parts {
     GRand *random;
-    /* Balance of each part by "route service". */
-    GHashTable *balances;
+    /* Share of a call that is due to a part, by "route service". */
+    GHashTable *phases;
 };
 
 bv_parts_t *
@@ -13,7 +13,7 @@
 {
     bv_parts_t *parts = g_new0(bv_parts_t, 1);
     parts->random = random;
-    parts->balances =
+    parts->phases =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return parts;
 }
@@ -24,23 +24,23 @@
     if (parts == NULL) {
         return;
     }
-    g_hash_table_destroy(parts->balances);
+    g_hash_table_destroy(parts->phases);
     g_free(parts);
 }
 
 static double *
-balance_of(bv_parts_t *parts, const bv_route_t *route, const bv_part_t *part)
+phase_of(bv_parts_t *parts, const bv_route_t *route, const bv_part_t *part)
 {
     char *key = g_strconcat(route->name, " ", part->service, NULL);
-    double *balance = g_hash_table_lookup(parts->balances, key);
-    if (balance != NULL) {
+    double *phase = g_hash_table_lookup(parts->phases, key);
+    if (phase != NULL) {
         g_free(key);
-        return balance;
+        return phase;
     }
-    balance = g_new(double, 1);
-    *balance = g_rand_double(parts->random);
-    g_hash_table_insert(parts->balances, key, balance);
-    return balance;
+    phase = g_new(double, 1);
+    *phase = g_rand_double(parts->random);
+    g_hash_table_insert(parts->phases, key, phase);
+    return phase;
 }
 
 static double
@@ -53,28 +53,26 @@
     return total;
 }
 
-/* Balances are in calls owed to a part, so that a new weight carries on. */
+/* Each part in turn takes its share of the calls that those before it left. */
 const char *
 bv_parts_choose(bv_parts_t *parts, const bv_route_t *route)
 {
-    if (route->parts->len == 0) {
-        return route->service;
-    }
-    double total = total_weight(route);
-    const bv_part_t *chosen = NULL;
-    double *most = NULL;
+    double left = total_weight(route);
     for (guint i = 0; i < route->parts->len; i++) {
         const bv_part_t *part = &g_array_index(route->parts, bv_part_t, i);
         if (part->weight == 0) {
             continue;
         }
-        double *balance = balance_of(parts, route, part);
-        *balance += part->weight / total;
-        if (most == NULL || *balance > *most) {
-            most = balance;
-            chosen = part;
+        if (part->weight >= left) {
+            return part->service;
+        }
+        double *phase = phase_of(parts, route, part);
+        *phase += part->weight / left;
+        if (*phase >= 1) {
+            *phase -= 1;
+            return part->service;
         }
+        left -= part->weight;
     }
-    *most -= 1;
-    return chosen->service;
+    return route->service;
 }
--- a/include/berylvane/caller/call.h
+++ b/include/berylvane/caller/call.h
@@ -40,7 +40,10 @@
     char *key;
     char *customer;
     char *trace;
-    /* Value of Berylvane-Request; never set on an outside call. */
+    /*
+     * Id of the customer request over its whole chain, as text. Of an outside
+     * call it is a name only; else it leads to the work that makes the call.
+     */
     char *request;
     /* The caller's own name for this attempt, for logs; may be NULL. */
     char *label;
--- a/include/berylvane/core/parts.h
+++ b/include/berylvane/core/parts.h
@@ -6,9 +6,9 @@
 /*
  * parts - divides a route's calls among its services by weight
  *
- * Smooth weighted round robin: after any number of calls each service is
- * within one call of its share. Each node starts at a place of its own, so
- * that few calls over many nodes are divided well too.
+ * After any number of calls each service is within a call or two of its share.
+ * Each node starts at a random place, so that few calls at each of many nodes
+ * are divided by the weights too.
  */
 typedef struct bv_parts bv_parts_t;
 
--- a/node/calls.c
+++ b/node/calls.c
@@ -167,19 +167,8 @@
 }
 
 static void
-take_parent(bv_node_t *node, bv_call_state_t *state)
+take_child(bv_node_t *node, bv_call_state_t *state, const bv_served_t *parent)
 {
-    const bv_call_t *call = state->call;
-    const bv_served_t *parent = NULL;
-    if (call->request != NULL && bv_id_parse(call->request, &state->id)) {
-        parent = parent_of(node, state);
-    }
-    if (parent == NULL) {
-        bv_counter_add(BV_COUNT_CALLS_UNTAGGED, 1);
-        state->id = bv_id_random(node->random);
-        state->priority = bv_priority(state->route->importance, 0);
-        return;
-    }
     bv_serve_child_began(node, &state->id);
     state->deadline_us = MIN(state->deadline_us, parent->deadline_us);
     state->priority = parent->dispatch->priority;
@@ -187,11 +176,19 @@
     state->customer = g_strdup(parent->dispatch->customer);
 }
 
+/* Without its request a call of the target cannot be paid further tries. */
+static void
+take_untagged(bv_node_t *node, bv_call_state_t *state)
+{
+    bv_counter_add(BV_COUNT_CALLS_UNTAGGED, 1);
+    state->id = bv_id_random(node->random);
+    state->priority = bv_priority(state->route->importance, 0);
+}
+
 static void
 take_entry(bv_node_t *node, bv_call_state_t *state)
 {
     state->entry = true;
-    state->id = bv_id_random(node->random);
     uint32_t credits = state->bypass ? 0 : state->config->retry_credits;
     bv_credits_open(node->credits, &state->id, credits);
     /* Where there are no client accounts, shedding is spread over calls. */
@@ -202,6 +199,28 @@
         bv_customer_level(account != NULL ? account : ""));
 }
 
+static void
+take_origin(bv_node_t *node, bv_call_state_t *state)
+{
+    const bv_call_t *call = state->call;
+    bool named =
+        call->request != NULL && bv_id_parse(call->request, &state->id);
+    if (!named) {
+        state->id = bv_id_random(node->random);
+    }
+    const bv_served_t *parent =
+        named && !call->outside ? parent_of(node, state) : NULL;
+    if (parent != NULL) {
+        take_child(node, state, parent);
+    }
+    else if (call->outside) {
+        take_entry(node, state);
+    }
+    else {
+        take_untagged(node, state);
+    }
+}
+
 static void
 take_trace(bv_node_t *node, bv_call_state_t *state)
 {
@@ -254,12 +273,7 @@
         state->deadline_us =
             MIN(state->deadline_us, state->caller_deadline_us);
     }
-    if (call->outside) {
-        take_entry(node, state);
-    }
-    else {
-        take_parent(node, state);
-    }
+    take_origin(node, state);
     take_trace(node, state);
     if (state->deadline_us <= node->now_us) {
         refuse(node, state, 503, BV_REASON_EXPIRED);
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/log.h"
+#include "berylvane/node/member_row.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
@@ -26,100 +27,6 @@
                            (guint64)XXH3_64bits(name, strlen(name)), name);
 }
 
-static json_t *
-render_row(const bv_member_t *member)
-{
-    return json_pack(
-        "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:s, s:I}", "name",
-        member->name, "service", member->service, "data_centre",
-        member->data_centre, "region", member->region, "address",
-        member->address, "peer_port", member->peer_port, "gossip_port",
-        member->gossip_port, "incarnation", (json_int_t)member->incarnation,
-        "version", (json_int_t)member->version, "slots",
-        (json_int_t)member->slots, "state",
-        bv_member_state_name(member->state), "generation",
-        (json_int_t)member->generation);
-}
-
-typedef struct {
-    char *name;
-    char *service;
-    char *data_centre;
-    char *region;
-    char *address;
-    int64_t peer_port;
-    int64_t gossip_port;
-    int64_t incarnation;
-    int64_t version;
-    int64_t slots;
-    char *state;
-    int64_t generation;
-} row_t;
-
-#define TEXT(key, member, limit)                                              \
-    {                                                                         \
-        .name = key, .kind = BV_FIELD_STRING,                                 \
-        .offset = offsetof(row_t, member), .required = true, .most = (limit)  \
-    }
-#define NUMBER(key, member, limit)                                            \
-    {                                                                         \
-        .name = key, .kind = BV_FIELD_INTEGER,                                \
-        .offset = offsetof(row_t, member), .required = true, .most = (limit)  \
-    }
-
-static const bv_field_t row_fields[] = {
-    TEXT("name", name, BV_NAME_BYTES - 1),
-    TEXT("service", service, BV_NAME_BYTES - 1),
-    TEXT("data_centre", data_centre, BV_NAME_BYTES - 1),
-    TEXT("region", region, BV_NAME_BYTES - 1),
-    TEXT("address", address, BV_ADDRESS_BYTES - 1),
-    NUMBER("peer_port", peer_port, UINT16_MAX),
-    NUMBER("gossip_port", gossip_port, UINT16_MAX),
-    NUMBER("incarnation", incarnation, INT64_MAX),
-    NUMBER("version", version, UINT32_MAX),
-    NUMBER("slots", slots, UINT32_MAX),
-    TEXT("state", state, BV_NAME_BYTES - 1),
-    NUMBER("generation", generation, INT64_MAX),
-    {NULL}};
-
-static void
-free_row(row_t *row)
-{
-    g_free(row->name);
-    g_free(row->service);
-    g_free(row->data_centre);
-    g_free(row->region);
-    g_free(row->address);
-    g_free(row->state);
-}
-
-static bool
-parse_row(const json_t *json, bv_member_t *member)
-{
-    row_t row = {0};
-    bv_findings_t *findings = bv_findings_create();
-    bv_fields_read(json, row_fields, &row, "row", "", findings);
-    bool good = bv_findings_empty(findings) && row.name[0] != '\0';
-    bv_findings_destroy(findings);
-    memset(member, 0, sizeof(*member));
-    if (good) {
-        good = bv_member_state_parse(row.state, &member->state);
-        g_strlcpy(member->name, row.name, BV_NAME_BYTES);
-        g_strlcpy(member->service, row.service, BV_NAME_BYTES);
-        g_strlcpy(member->data_centre, row.data_centre, BV_NAME_BYTES);
-        g_strlcpy(member->region, row.region, BV_NAME_BYTES);
-        g_strlcpy(member->address, row.address, BV_ADDRESS_BYTES);
-    }
-    member->peer_port = (uint16_t)row.peer_port;
-    member->gossip_port = (uint16_t)row.gossip_port;
-    member->incarnation = (uint64_t)row.incarnation;
-    member->version = (uint32_t)row.version;
-    member->slots = (uint32_t)row.slots;
-    member->generation = (uint64_t)row.generation;
-    free_row(&row);
-    return good;
-}
-
 static void
 learn(bv_node_t *node, const json_t *rows)
 {
@@ -127,7 +34,7 @@
     json_t *row;
     json_array_foreach((json_t *)rows, index, row) {
         bv_member_t member;
-        if (parse_row(json_object_get(row, "value"), &member)) {
+        if (bv_member_row_parse(json_object_get(row, "value"), &member)) {
             bv_membership_learn(node->membership, node->now_us, &member);
         }
     }
@@ -144,6 +51,9 @@
     rendezvous->from = 0;
     rendezvous->answered = true;
     learn(node, rows);
+    bv_log(BV_LOG_INFO, "rows_read", "rows",
+           BV_NUM((gint64)json_array_size(rows)), "members",
+           BV_NUM(bv_membership_present(node->membership)), NULL);
     if (!rendezvous->walked && json_array_size(rows) < RANGE_ROWS) {
         rendezvous->scan_due_us = node->now_us;
     }
@@ -153,9 +63,12 @@
 static void
 on_scan(void *context, bv_store_answer_t *answer)
 {
-    if (answer->result == BV_STORE_OK && answer->json != NULL) {
-        bv_node_deliver(context, take_rows, bv_store_take_json(answer));
+    if (answer->result != BV_STORE_OK || answer->json == NULL) {
+        bv_log(BV_LOG_WARN, "rows_not_read", "result", BV_NUM(answer->result),
+               NULL);
+        return;
     }
+    bv_node_deliver(context, take_rows, bv_store_take_json(answer));
 }
 
 static void
@@ -187,7 +100,7 @@
     const bv_member_t *self = bv_membership_self(node->membership);
     char *key = key_of(self->name);
     json_t *operations = json_array();
-    json_array_append_new(operations, bv_store_op_put(key, render_row(self)));
+    json_array_append_new(operations, bv_store_op_put(key, bv_member_row_render(self)));
     g_free(key);
     bv_store_write(node->store, operations, true, on_row_written, NULL);
 }
--- /dev/null
+++ b/tests/test_log_budget.c
@@ -0,0 +1,54 @@
+#include "berylvane/core/log_budget.h"
+#include "support.h"
+
+#define US_PER_S 1000000
+
+typedef struct {
+    bv_log_class_t kind;
+    /* Offered lines a second; those that pass in ten seconds, at most. */
+    int64_t offered;
+    uint64_t most;
+} case_t;
+
+static const case_t cases[] = {
+    {BV_LOG_CLASS_SUCCESS, 1000, 20 * 10 + 40},
+    {BV_LOG_CLASS_REFUSAL, 5000, 100 * 10 + 200},
+    {BV_LOG_CLASS_FAILURE, 5000, 200 * 10 + 400},
+};
+
+START_TEST(test_bound)
+{
+    const case_t *row = &cases[_i];
+    bv_log_budget_t budget = {0};
+    uint64_t passed = 0;
+    int64_t offered = 10 * row->offered;
+    for (int64_t i = 0; i < offered; i++) {
+        passed += bv_log_budget_take(
+            &budget, 5 * US_PER_S + i * US_PER_S / row->offered, row->kind);
+    }
+    ck_assert_uint_le(passed, row->most);
+    ck_assert_uint_eq(passed + budget.left_out[row->kind], (uint64_t)offered);
+}
+END_TEST
+
+/* A flood of one class leaves the others their lines. */
+START_TEST(test_classes)
+{
+    bv_log_budget_t budget = {0};
+    for (int i = 0; i < 10000; i++) {
+        bv_log_budget_take(&budget, US_PER_S, BV_LOG_CLASS_SUCCESS);
+    }
+    ck_assert(
+        bv_log_budget_take(&budget, US_PER_S, BV_LOG_CLASS_FAILURE));
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"bound", test_bound, G_N_ELEMENTS(cases)},
+        {"classes", test_classes, 1},
+        {NULL}};
+    return support_run("log_budget", tests);
+}
--- /dev/null
+++ b/tests/test_parts.c
@@ -0,0 +1,108 @@
+#include "berylvane/core/parts.h"
+#include "support.h"
+
+#include <string.h>
+
+#define CALLS 1000
+#define PARTS_MOST 3
+
+typedef struct {
+    const char *name;
+    uint32_t weights[PARTS_MOST];
+} case_t;
+
+static const case_t cases[] = {
+    {"even", {1, 1, 1}},
+    {"uneven", {90, 10, 0}},
+    {"large", {70000, 20000, 10000}},
+    {"one", {5, 0, 0}},
+};
+
+static const char *const services[PARTS_MOST] = {"a", "b", "c"};
+
+static bv_route_t
+make_route(const case_t *row)
+{
+    bv_route_t route = {
+        .name = (char *)row->name,
+        .service = (char *)services[0],
+        .parts = g_array_new(FALSE, TRUE, sizeof(bv_part_t)),
+    };
+    for (int i = 0; i < PARTS_MOST; i++) {
+        bv_part_t part = {(char *)services[i], row->weights[i]};
+        g_array_append_val(route.parts, part);
+    }
+    return route;
+}
+
+/* After any number of calls each part is within a call or so of its share. */
+START_TEST(test_shares)
+{
+    const case_t *row = &cases[_i];
+    bv_route_t route = make_route(row);
+    GRand *random = g_rand_new_with_seed(1);
+    bv_parts_t *parts = bv_parts_create(random);
+    double total = 0;
+    uint32_t counts[PARTS_MOST] = {0};
+    for (int i = 0; i < PARTS_MOST; i++) {
+        total += row->weights[i];
+    }
+    for (int call = 1; call <= CALLS; call++) {
+        counts[bv_parts_choose(parts, &route)[0] - 'a']++;
+        for (int i = 0; i < PARTS_MOST; i++) {
+            double share = call * row->weights[i] / total;
+            ck_assert_double_le(counts[i], share + 2);
+            ck_assert_double_ge(counts[i], share - 2);
+        }
+    }
+    bv_parts_destroy(parts);
+    g_rand_free(random);
+    g_array_unref(route.parts);
+}
+END_TEST
+
+/* Few calls at each of many nodes still add up to the weights. */
+START_TEST(test_many_nodes)
+{
+    const case_t row = {"few", {80, 20, 0}};
+    bv_route_t route = make_route(&row);
+    uint32_t second = 0;
+    for (guint32 node = 0; node < CALLS; node++) {
+        GRand *random = g_rand_new_with_seed(node);
+        bv_parts_t *parts = bv_parts_create(random);
+        second += strcmp(bv_parts_choose(parts, &route), "b") == 0;
+        bv_parts_destroy(parts);
+        g_rand_free(random);
+    }
+    ck_assert_uint_ge(second, CALLS / 10);
+    ck_assert_uint_le(second, CALLS * 3 / 10);
+    g_array_unref(route.parts);
+}
+END_TEST
+
+START_TEST(test_no_parts)
+{
+    bv_route_t route = {
+        .name = "plain",
+        .service = "home",
+        .parts = g_array_new(FALSE, TRUE, sizeof(bv_part_t)),
+    };
+    GRand *random = g_rand_new_with_seed(1);
+    bv_parts_t *parts = bv_parts_create(random);
+    ck_assert_str_eq(bv_parts_choose(parts, &route), "home");
+    bv_parts_destroy(parts);
+    g_rand_free(random);
+    g_array_unref(route.parts);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"shares", test_shares, G_N_ELEMENTS(cases)},
+        {"many_nodes", test_many_nodes, 1},
+        {"no_parts", test_no_parts, 1},
+        {NULL}};
+    return support_run("parts", tests);
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,330 @@
+#include "berylvane/common/headers.h"
+#include "berylvane/core/config.h"
+#include "berylvane/platform/dialect.h"
+#include "berylvane/platform/rows.h"
+#include "support.h"
+
+#include <string.h>
+
+static bv_settings_t settings = {.service = "shop"};
+
+/* Requests: what is read of a head, and what is passed on. */
+typedef struct {
+    const char *lines;
+    uint16_t status;
+    int64_t timeout_us;
+    /* A line that is passed on, and text that is not; NULL for none. */
+    const char *passed;
+    const char *dropped;
+} request_case_t;
+
+#define ID "Host: h.example\r\nRequest-Id: 7\r\n"
+
+static const request_case_t request_cases[] = {
+    {ID "Request-Deadline: 1500\r\n", 0, 1500000, "Request-Id: 7\r\n",
+     "Request-Deadline"},
+    {ID, 0, 0, "Host: h.example\r\n", NULL},
+    {ID, 0, 0, "Caller-Service: shop\r\n", NULL},
+    {ID "Caller-Service: bank\r\n", 0, 0, "Caller-Service: shop\r\n", "bank"},
+    {ID "target-instance: i-1\r\n", 0, 0, NULL, "i-1"},
+    {ID "X-Own: 1\r\n", 0, 0, "X-Own: 1\r\n", NULL},
+    {ID "traceparent: 00-1-2-01\r\n", 0, 0, "traceparent: 00-1-2-01\r\n",
+     NULL},
+    {ID "Connection: close, X-Hop\r\nX-Hop: 1\r\n", 0, 0, NULL, "X-Hop"},
+    {ID "Transfer-Encoding: chunked\r\n", 0, 0, NULL, "chunked"},
+    {ID "Request-Deadline: soon\r\n", 400, 0, NULL, NULL},
+    {ID "Request-Deadline: -5\r\n", 400, 0, NULL, NULL},
+    {"Host: h.example\r\n", 400, 0, NULL, NULL},
+};
+
+START_TEST(test_request)
+{
+    const request_case_t *row = &request_cases[_i];
+    const bv_dialect_t *dialect = bv_platform_dialect(&settings);
+    bv_call_t call = {.method = g_strdup("GET"), .path = g_strdup("/a/1")};
+    uint16_t status = dialect->caller.read_head(
+        dialect->caller.context, BV_PORT_OUTSIDE, row->lines, &call);
+    ck_assert_uint_eq(status, row->status);
+    if (status == 0) {
+        ck_assert_int_eq(call.timeout_us, row->timeout_us);
+        ck_assert_str_eq(call.host, "h.example");
+        ck_assert_str_eq(call.label, "7");
+    }
+    if (row->passed != NULL) {
+        ck_assert_ptr_nonnull(strstr(call.headers, row->passed));
+    }
+    if (row->dropped != NULL) {
+        ck_assert_ptr_null(strstr(call.headers, row->dropped));
+    }
+    bv_call_clear(&call);
+}
+END_TEST
+
+/* Answers of a target. */
+typedef struct {
+    uint16_t status;
+    const char *headers;
+    bv_outcome_t outcome;
+    bv_reason_t reason;
+} answer_case_t;
+
+#define SIGNED "Request-Id: 7\r\nResponse-Signature: s\r\n"
+
+static const answer_case_t answer_cases[] = {
+    {200, SIGNED, BV_OUTCOME_RAN, BV_REASON_NONE},
+    {500, SIGNED, BV_OUTCOME_RAN, BV_REASON_NONE},
+    {504, "Request-Id: 7\r\n", BV_OUTCOME_RAN, BV_REASON_NONE},
+    {200, "Request-Id: 7\r\n", BV_OUTCOME_UNKNOWN, BV_REASON_BROKEN_ANSWER},
+    {200, SIGNED "Content-Encoding: gzip\r\n", BV_OUTCOME_UNKNOWN,
+     BV_REASON_BROKEN_ANSWER},
+    {503, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN,
+     BV_REASON_TARGET_REFUSED},
+    {400, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN,
+     BV_REASON_TARGET_REFUSED},
+    {503, "", BV_OUTCOME_RAN, BV_REASON_NONE},
+    {421, "Instance-Id: i-2\r\n", BV_OUTCOME_NOT_RUN,
+     BV_REASON_WRONG_TARGET},
+};
+
+START_TEST(test_answer)
+{
+    const answer_case_t *row = &answer_cases[_i];
+    const bv_dialect_t *dialect = bv_platform_dialect(&settings);
+    bv_http_answer_t answer = {
+        .status = row->status,
+        .headers = (char *)row->headers,
+    };
+    bv_target_result_t result = {.outcome = BV_OUTCOME_RAN};
+    dialect->target.judge(dialect->target.context, &answer, &result);
+    ck_assert_int_eq(result.outcome, row->outcome);
+    ck_assert_int_eq(result.reason, row->reason);
+}
+END_TEST
+
+START_TEST(test_work)
+{
+    const bv_dialect_t *dialect = bv_platform_dialect(&settings);
+    bv_target_work_t work = {
+        .instance = "i-1",
+        .headers = "Request-Id: 7\r\n",
+        .timeout_us = 1234567,
+    };
+    bv_http_request_t *request = bv_http_request_create("GET", "http://a/");
+    dialect->target.write_head(dialect->target.context, &work, request);
+    ck_assert_str_eq(request->echo_name, "Request-Id");
+    ck_assert_str_eq(request->echo_value, "7");
+    ck_assert_ptr_nonnull(
+        strstr(request->headers, "Request-Deadline: 1234\r\n"));
+    ck_assert_ptr_nonnull(
+        strstr(request->headers, "Target-Instance: i-1\r\n"));
+    bv_http_request_destroy(request);
+}
+END_TEST
+
+/* Announcements. */
+typedef struct {
+    const char *path;
+    const char *body;
+    bool good;
+    bv_announced_state_t state;
+} announcement_case_t;
+
+#define BEAT "/v1/instances/i-7/heartbeat"
+#define INFO "\"Info\":{\"Service\":\"a\",\"Slots\":4}"
+#define ADDRESS "\"Address\":\"10.0.0.1:80\""
+#define STATUS "\"Status\":{\"State\":\"ready\",\"Sequence\":4,"              \
+               "\"ColdRemainingMs\":0}"
+
+static const announcement_case_t announcement_cases[] = {
+    {BEAT, "{" ADDRESS "," INFO "," STATUS ",\"born\":99}", true,
+     BV_ANNOUNCED_READY},
+    {BEAT, "{" ADDRESS "," INFO "," STATUS ",\"New\":1}", true,
+     BV_ANNOUNCED_READY},
+    {BEAT,
+     "{" ADDRESS "," INFO ",\"Status\":{\"State\":\"draining\",\"Sequence\":"
+     "5,\"ColdRemainingMs\":0}}",
+     true, BV_ANNOUNCED_DRAINING},
+    {"/v1/instances/i-7/deregister", "", true, BV_ANNOUNCED_LEFT},
+    {"/v1/instances//deregister", "", false, BV_ANNOUNCED_READY},
+    {BEAT, "", false, BV_ANNOUNCED_READY},
+    {BEAT, "[1]", false, BV_ANNOUNCED_READY},
+    {BEAT, "{" ADDRESS "," INFO "," STATUS, false, BV_ANNOUNCED_READY},
+    {BEAT, "{" INFO "," STATUS "}", false, BV_ANNOUNCED_READY},
+    {BEAT, "{\"Address\":\"here\"," INFO "," STATUS "}", false,
+     BV_ANNOUNCED_READY},
+    {BEAT, "{" ADDRESS ",\"Info\":{\"Service\":7,\"Slots\":4}," STATUS "}",
+     false, BV_ANNOUNCED_READY},
+    {BEAT,
+     "{" ADDRESS ",\"Info\":{\"Service\":\"a\",\"Slots\":\"4\"}," STATUS "}",
+     false, BV_ANNOUNCED_READY},
+    {BEAT,
+     "{" ADDRESS "," INFO ",\"Status\":{\"State\":\"asleep\",\"Sequence\":4,"
+     "\"ColdRemainingMs\":0}}",
+     false, BV_ANNOUNCED_READY},
+    {BEAT, "{" ADDRESS "," INFO "," STATUS ",\"born\":\"x\"}", false,
+     BV_ANNOUNCED_READY},
+};
+
+START_TEST(test_announcement)
+{
+    const announcement_case_t *row = &announcement_cases[_i];
+    const bv_dialect_t *dialect = bv_platform_dialect(&settings);
+    bv_findings_t *findings = bv_findings_create();
+    bv_announcement_t word = {0};
+    bv_call_t call = {
+        .path = g_strdup(row->path),
+        .body = g_bytes_new(row->body, strlen(row->body)),
+    };
+    bool good = dialect->read_announcement(dialect->context, &call, &word,
+                                           findings);
+    ck_assert_int_eq(good, row->good);
+    if (good) {
+        ck_assert_str_eq(word.instance, "i-7");
+        ck_assert_int_eq(word.state, row->state);
+    }
+    bv_call_clear(&call);
+    bv_findings_destroy(findings);
+}
+END_TEST
+
+/* Configurations. */
+typedef struct {
+    const char *text;
+    /* Part of a finding; NULL when the configuration is good. */
+    const char *finding;
+} config_case_t;
+
+#define SERVICES "\"Services\":[{\"Name\":\"a\"},{\"Name\":\"b\"}]"
+#define ROUTE(extra)                                                          \
+    "{\"Version\":\"r7\"," SERVICES                                           \
+    ",\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":[{\"Name\":"    \
+    "\"one\",\"Type\":\"safe\"," extra "}]}]}"
+
+static const config_case_t config_cases[] = {
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\""), NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"WeightedServices\":[{\"Service\":\"a\","
+           "\"Weight\":9},{\"Service\":\"b\",\"Weight\":1}]"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x\",\"Service\":\"a\""), "prefix"},
+    {ROUTE("\"Prefix\":\"x/\",\"Service\":\"a\""), "prefix"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"c\""), "service"},
+    {ROUTE("\"Prefix\":\"/x/\",\"WeightedServices\":[{\"Service\":\"c\","
+           "\"Weight\":9}]"),
+     "service"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":-1"),
+     "not below 0"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":\"9\""),
+     "whole number"},
+    {"{\"Version\":\"r7\"," SERVICES
+     ",\"VirtualHosts\":[{\"Hostname\":\"h\",\"Paths\":[{\"Name\":\"one\","
+     "\"Type\":\"maybe\",\"Prefix\":\"/x/\",\"Service\":\"a\"}]}]}",
+     "type"},
+    {"{\"Version\":7," SERVICES ",\"VirtualHosts\":[]}", "Version"},
+    {"{\"Version\":\"r7\"," SERVICES "}", "VirtualHosts"},
+    {"{}", "Version"},
+};
+
+START_TEST(test_configuration)
+{
+    const config_case_t *row = &config_cases[_i];
+    const bv_dialect_t *dialect = bv_platform_dialect(&settings);
+    bv_findings_t *findings = bv_findings_create();
+    json_t *value = json_loads(row->text, 0, NULL);
+    ck_assert_ptr_nonnull(value);
+    json_t *bundle =
+        dialect->configs->translate(dialect->context, value, findings);
+    if (row->finding != NULL) {
+        char *text = bv_findings_text(findings);
+        ck_assert_ptr_null(bundle);
+        ck_assert_msg(strstr(text, row->finding) != NULL, "%s", text);
+        g_free(text);
+    }
+    else {
+        bv_config_t *config =
+            bv_config_build(bundle, "any", 7, "bundle", findings);
+        ck_assert_ptr_nonnull(config);
+        const bv_route_t *route =
+            bv_config_route(config, "H.example", "GET", "/x/1");
+        ck_assert_ptr_nonnull(route);
+        ck_assert(route->idempotent && !route->keyed);
+        ck_assert_ptr_null(bv_config_route(config, "g", "GET", "/x/1"));
+        bv_config_unref(config);
+    }
+    json_decref(bundle);
+    json_decref(value);
+    bv_findings_destroy(findings);
+}
+END_TEST
+
+/* Rows of the table. */
+START_TEST(test_transaction)
+{
+    json_t *operations =
+        json_loads("[{\"op\":\"update\",\"key\":\"t/a\",\"value\":1,"
+                   "\"revision\":3},{\"op\":\"insert\",\"key\":\"t/b\","
+                   "\"value\":2},{\"op\":\"put\",\"key\":\"t/c\","
+                   "\"value\":3},{\"op\":\"drop\",\"key\":\"t/d\"}]",
+                   0, NULL);
+    json_t *results = json_loads("[null,null,null,null]", 0, NULL);
+    json_t *rows = json_loads(
+        "[{\"Table\":\"t\",\"Key\":\"a\",\"Value\":\"OQ==\",\"Ver\":4}]", 0,
+        NULL);
+    json_t *sent = bv_rows_transaction(operations, results);
+    ck_assert_uint_eq(
+        json_array_size(json_object_get(sent, "ExpectedRevision")), 2);
+    ck_assert_uint_eq(json_array_size(json_object_get(sent, "Writes")), 3);
+    ck_assert_uint_eq(json_array_size(json_object_get(sent, "Remove")), 1);
+    json_decref(sent);
+    ck_assert_uint_eq(bv_rows_refused(operations, rows, results), 1);
+    const json_t *first = json_array_get(results, 0);
+    ck_assert_int_eq(json_integer_value(json_object_get(first, "value")), 9);
+    sent = bv_rows_transaction(operations, results);
+    ck_assert_uint_eq(json_array_size(json_object_get(sent, "Writes")), 2);
+    json_decref(sent);
+    bv_rows_written(results, 12);
+    for (size_t i = 0; i < 4; i++) {
+        const json_t *result = json_array_get(results, i);
+        ck_assert_int_eq(json_is_true(json_object_get(result, "ok")), i > 0);
+    }
+    json_decref(rows);
+    json_decref(results);
+    json_decref(operations);
+}
+END_TEST
+
+/* Rows of other writers may be anything; the others hold. */
+START_TEST(test_decode)
+{
+    json_t *wire = json_loads(
+        "[{\"Table\":\"t\",\"Key\":\"a\",\"Value\":\"MQ==\",\"Ver\":1},"
+        "{\"Table\":\"t\",\"Key\":\"b\",\"Value\":\"?\",\"Ver\":2},"
+        "{\"Table\":\"t\",\"Key\":\"c\",\"Value\":7,\"Ver\":3},"
+        "{\"Table\":\"t\",\"Key\":\"d\",\"Value\":\"e30=\",\"Ver\":\"4\"},"
+        "{\"Table\":\"t\",\"Key\":\"e\",\"Deleted\":true,\"Ver\":5},\"x\"]",
+        0, NULL);
+    json_t *rows = json_array();
+    bv_rows_decode(wire, NULL, rows);
+    ck_assert_uint_eq(json_array_size(rows), 2);
+    json_decref(rows);
+    rows = json_array();
+    bv_rows_decode(wire, "t/a", rows);
+    ck_assert_uint_eq(json_array_size(rows), 1);
+    json_decref(rows);
+    json_decref(wire);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"request", test_request, G_N_ELEMENTS(request_cases)},
+        {"answer", test_answer, G_N_ELEMENTS(answer_cases)},
+        {"work", test_work, 1},
+        {"announcement", test_announcement, G_N_ELEMENTS(announcement_cases)},
+        {"configuration", test_configuration, G_N_ELEMENTS(config_cases)},
+        {"transaction", test_transaction, 1},
+        {"decode", test_decode, 1},
+        {NULL}};
+    return support_run("platform", tests);
+}
