--- a/caller/listener.c
+++ b/caller/listener.c
@@ -280,8 +280,8 @@
 {
     const char *length = MHD_lookup_connection_value(
         exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-    return length != NULL && g_ascii_strtoull(length, NULL, 10) >
-                                 body_limit(exchange);
+    return length != NULL &&
+           g_ascii_strtoull(length, NULL, 10) > body_limit(exchange);
 }
 
 static enum MHD_Result
@@ -309,10 +309,9 @@
     exchange_t *exchange = *state;
     if (exchange->stage == STAGE_NEW) {
         exchange->stage = STAGE_BODY;
-        MHD_set_connection_option(
-            connection, MHD_CONNECTION_OPTION_TIMEOUT,
-            (unsigned int)g_atomic_int_get(
-                &exchange->listener->idle_timeout_s));
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                  (unsigned int)g_atomic_int_get(
+                                      &exchange->listener->idle_timeout_s));
         uint16_t status = read_head(exchange, method);
         if (status == 0 && declared_too_large(exchange)) {
             status = MHD_HTTP_CONTENT_TOO_LARGE;
--- a/common/http_poll.c
+++ b/common/http_poll.c
@@ -50,9 +50,8 @@
     gpointer events;
     if (g_hash_table_lookup_extended(poll->sockets, GINT_TO_POINTER(fd), NULL,
                                      &events)) {
-        g_hash_table_insert(
-            poll->sockets, GINT_TO_POINTER(fd),
-            GUINT_TO_POINTER(GPOINTER_TO_UINT(events) | IDLE));
+        g_hash_table_insert(poll->sockets, GINT_TO_POINTER(fd),
+                            GUINT_TO_POINTER(GPOINTER_TO_UINT(events) | IDLE));
     }
 }
 
@@ -75,9 +74,8 @@
 {
     (void)multi;
     bv_http_poll_t *poll = context;
-    poll->timer_us = timeout_ms < 0 ? -1
-                                    : bv_clock_now_us() +
-                                          timeout_ms * BV_US_PER_MS;
+    poll->timer_us =
+        timeout_ms < 0 ? -1 : bv_clock_now_us() + timeout_ms * BV_US_PER_MS;
     return 0;
 }
 
--- a/core/announced.c
+++ b/core/announced.c
@@ -57,8 +57,7 @@
     if (word->state == BV_ANNOUNCED_LEFT) {
         return take_left(known, word);
     }
-    if (is_known(known) &&
-        (is_older(known, word) || is_final(known, word))) {
+    if (is_known(known) && (is_older(known, word) || is_final(known, word))) {
         return BV_ANNOUNCED_STALE;
     }
     bool same = is_known(known) && is_same(known, word);
--- a/core/log_budget.c
+++ b/core/log_budget.c
@@ -18,8 +18,8 @@
 {
     double passed_s = (double)(now_us - budget->filled_us) / US_PER_S;
     for (int i = 0; i < BV_LOG_CLASS_END; i++) {
-        budget->tokens[i] = MIN(budget->tokens[i] + passed_s * rates[i],
-                                rates[i] * BURST_S);
+        budget->tokens[i] =
+            MIN(budget->tokens[i] + passed_s * rates[i], rates[i] * BURST_S);
     }
     budget->filled_us = now_us;
 }
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -118,13 +118,17 @@
 /* serve: refuses work that has not started. */
 void bv_serve_refuse(bv_node_t *node, bv_served_t *served, bv_reason_t reason);
 
+/* parents: started work, found by the calls that its target makes for it. */
+void bv_parents_add(bv_node_t *node, bv_served_t *served);
+void bv_parents_remove(bv_node_t *node, bv_served_t *served);
+
 /*
- * serve: the local target began or ended a call for the work of a request;
- * `kind` is the hash of the call's route.
+ * The local target began or ended a call for the work of a request; `kind` is
+ * the hash of the call's route.
  */
-void bv_serve_child_began(bv_node_t *node, const bv_id_t *request);
-void bv_serve_child_ended(bv_node_t *node, const bv_id_t *request,
-                          uint32_t kind);
+void bv_parents_child_began(bv_node_t *node, const bv_id_t *request);
+void bv_parents_child_ended(bv_node_t *node, const bv_id_t *request,
+                            uint32_t kind);
 
 /* keyed: at-most-once for non-idempotent calls. */
 void bv_keyed_begin(bv_node_t *node, bv_call_state_t *state);
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -42,14 +42,10 @@
 
 /*
  * One message. Which fields count depends on the kind:
- * DISPATCH     request..remaining_us, method, host, path, headers, key, customer, label,
- *              span, body
- * ANSWER       attempt, outcome, reason, status, headers, credit, threshold,
- *              wait_us, digest, body
- * OPEN         session
- * FENCE        attempt, session
- * FENCED       attempt, served
- * CANCEL       attempt
+ * DISPATCH     request..remaining_us, method, host, path, headers, key,
+ * customer, label, span, body ANSWER       attempt, outcome, reason, status,
+ * headers, credit, threshold, wait_us, digest, body OPEN         session FENCE
+ * attempt, session FENCED       attempt, served CANCEL       attempt
  * CONFIG_ASK   generation; CONFIG_BODY generation, digest, body
  * KEY_ASK      attempt (echoed), key, generation: the attempt in its row;
  *              or, with a method, a call for the node that minted its ticket:
--- a/include/berylvane/platform/store.h
+++ b/include/berylvane/platform/store.h
@@ -58,9 +58,9 @@
 
 /*
  * Writes rows. An operation is an object with "op" (insert, put, drop,
- * update, delete), "key", "value" and, for update and delete, the expected "revision".
- * With `atomic`, one failed condition undoes all; otherwise those whose
- * conditions hold are written, in as few transactions as that takes. The
+ * update, delete), "key", "value" and, for update and delete, the expected
+ * "revision". With `atomic`, one failed condition undoes all; otherwise those
+ * whose conditions hold are written, in as few transactions as that takes. The
  * answer's "results" are in order: {"ok", "revision", "value"} with the row as
  * it is where a condition failed; null where it is not known. Takes
  * `operations`, at most BV_STORE_OPERATIONS. False when the ring is full.
--- a/node/calls.c
+++ b/node/calls.c
@@ -124,7 +124,7 @@
         bv_credits_close(node->credits, &state->id, 0);
     }
     else {
-        bv_serve_child_ended(node, &state->id, state->kind);
+        bv_parents_child_ended(node, &state->id, state->kind);
     }
     if (state->timer != NULL) {
         g_sequence_remove(state->timer);
@@ -169,7 +169,7 @@
 static void
 take_child(bv_node_t *node, bv_call_state_t *state, const bv_served_t *parent)
 {
-    bv_serve_child_began(node, &state->id);
+    bv_parents_child_began(node, &state->id);
     state->deadline_us = MIN(state->deadline_us, parent->deadline_us);
     state->priority = parent->dispatch->priority;
     g_free(state->customer);
@@ -194,9 +194,9 @@
     /* Where there are no client accounts, shedding is spread over calls. */
     const char *account =
         state->customer != NULL ? state->customer : state->call->label;
-    state->priority = bv_priority(
-        state->route->importance,
-        bv_customer_level(account != NULL ? account : ""));
+    state->priority =
+        bv_priority(state->route->importance,
+                    bv_customer_level(account != NULL ? account : ""));
 }
 
 static void
@@ -253,12 +253,13 @@
     g_hash_table_insert(node->calls, &state->tag, state);
     if (node->config == NULL || bv_drain_refuses(node, call)) {
         refuse(node, state, 503,
-               node->config != NULL ? BV_REASON_DRAINING : BV_REASON_NO_CONFIG);
+               node->config != NULL ? BV_REASON_DRAINING
+                                    : BV_REASON_NO_CONFIG);
         return;
     }
     state->config = bv_config_ref(node->config);
-    state->route = bv_config_route(node->config, call->host, call->method,
-                                   call->path);
+    state->route =
+        bv_config_route(node->config, call->host, call->method, call->path);
     if (state->route == NULL) {
         refuse(node, state, 404, BV_REASON_NO_ROUTE);
         return;
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -40,9 +40,9 @@
     bv_config_watch_t *watch = &node->config_watch;
     watch->pause_us =
         CLAMP(watch->pause_us * 2, PAUSE_LEAST_US, PAUSE_MOST_US);
-    watch->due_us = node->now_us +
-                    (int64_t)((double)watch->pause_us *
-                              g_rand_double_range(node->random, 0.5, 1));
+    watch->due_us =
+        node->now_us + (int64_t)((double)watch->pause_us *
+                                 g_rand_double_range(node->random, 0.5, 1));
 }
 
 static void
--- a/node/configs.c
+++ b/node/configs.c
@@ -246,8 +246,8 @@
         bv_config_spread_head(node->configs, node->now_us, &version);
     }
     uint64_t before = bv_config_spread_in_force(node->configs)->generation;
-    bool taken = bv_config_spread_body(node->configs, node->now_us, generation,
-                                       body);
+    bool taken =
+        bv_config_spread_body(node->configs, node->now_us, generation, body);
     if (bv_config_spread_in_force(node->configs)->generation > before) {
         bv_membership_tell(node->membership);
     }
--- a/node/decisions.c
+++ b/node/decisions.c
@@ -11,8 +11,7 @@
     if (decision->outcome == BV_OUTCOME_NOT_RUN) {
         return BV_LOG_CLASS_REFUSAL;
     }
-    bool good =
-        decision->outcome == BV_OUTCOME_RAN && decision->number < 500;
+    bool good = decision->outcome == BV_OUTCOME_RAN && decision->number < 500;
     return good ? BV_LOG_CLASS_SUCCESS : BV_LOG_CLASS_FAILURE;
 }
 
@@ -44,8 +43,7 @@
 log_decision(const bv_node_t *node, const bv_decision_t *decision)
 {
     char id[BV_ID_TEXT_BYTES];
-    uint64_t generation =
-        node->config != NULL ? node->config->generation : 0;
+    uint64_t generation = node->config != NULL ? node->config->generation : 0;
     bv_log(BV_LOG_INFO, bv_decision_name(decision->kind), "request",
            decision->label, "id", bv_id_text(&decision->request, id),
            "subject", decision->subject, "reason",
--- a/node/key_peers.c
+++ b/node/key_peers.c
@@ -150,9 +150,8 @@
     if (node->config == NULL || message->path == NULL) {
         return NULL;
     }
-    const bv_route_t *route =
-        bv_config_route(node->config, message->host, message->method,
-                        message->path);
+    const bv_route_t *route = bv_config_route(node->config, message->host,
+                                              message->method, message->path);
     return route != NULL && !route->idempotent ? route : NULL;
 }
 
--- a/node/member_row.c
+++ b/node/member_row.c
@@ -9,13 +9,12 @@
 {
     json_t *row = json_pack(
         "{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:s, s:I}", "name",
-        member->name, "data_centre",
-        member->data_centre, "region", member->region, "address",
-        member->address, "peer_port", member->peer_port, "gossip_port",
-        member->gossip_port, "incarnation", (json_int_t)member->incarnation,
-        "version", (json_int_t)member->version, "slots",
-        (json_int_t)member->slots, "state",
-        bv_member_state_name(member->state), "generation",
+        member->name, "data_centre", member->data_centre, "region",
+        member->region, "address", member->address, "peer_port",
+        member->peer_port, "gossip_port", member->gossip_port, "incarnation",
+        (json_int_t)member->incarnation, "version",
+        (json_int_t)member->version, "slots", (json_int_t)member->slots,
+        "state", bv_member_state_name(member->state), "generation",
         (json_int_t)member->generation);
     if (member->service[0] != '\0') {
         json_object_set_new(row, "service", json_string(member->service));
--- a/node/node.c
+++ b/node/node.c
@@ -170,8 +170,8 @@
 }
 
 static bool
-start_listener(bv_node_t *node, bv_port_t use,
-               const bv_endpoint_t *endpoint, GError **error)
+start_listener(bv_node_t *node, bv_port_t use, const bv_endpoint_t *endpoint,
+               GError **error)
 {
     bool serves = use == BV_PORT_OUTSIDE || use == BV_PORT_LOCAL;
     bv_listener_options_t options = {
--- a/node/own_dialect.c
+++ b/node/own_dialect.c
@@ -11,25 +11,24 @@
     int64_t slots;
 } record_t;
 
-static const bv_field_t fields[] = {
-    {.name = "service",
-     .kind = BV_FIELD_STRING,
-     .offset = offsetof(record_t, service),
-     .required = true,
-     .most = BV_NAME_BYTES - 1},
-    {.name = "port",
-     .kind = BV_FIELD_INTEGER,
-     .offset = offsetof(record_t, port),
-     .required = true,
-     .least = 1,
-     .most = 65535},
-    {.name = "slots",
-     .kind = BV_FIELD_INTEGER,
-     .offset = offsetof(record_t, slots),
-     .required = true,
-     .least = 1,
-     .most = 100000},
-    {NULL}};
+static const bv_field_t fields[] = {{.name = "service",
+                                     .kind = BV_FIELD_STRING,
+                                     .offset = offsetof(record_t, service),
+                                     .required = true,
+                                     .most = BV_NAME_BYTES - 1},
+                                    {.name = "port",
+                                     .kind = BV_FIELD_INTEGER,
+                                     .offset = offsetof(record_t, port),
+                                     .required = true,
+                                     .least = 1,
+                                     .most = 65535},
+                                    {.name = "slots",
+                                     .kind = BV_FIELD_INTEGER,
+                                     .offset = offsetof(record_t, slots),
+                                     .required = true,
+                                     .least = 1,
+                                     .most = 100000},
+                                    {NULL}};
 
 static bool
 read_announcement(void *context, const bv_call_t *call,
--- a/node/picks.c
+++ b/node/picks.c
@@ -167,6 +167,5 @@
     if (!state->route->hedge || state->bypass) {
         return 0;
     }
-    return bv_router_hedge_after_us(node->router, state->service,
-                                    state->kind);
+    return bv_router_hedge_after_us(node->router, state->service, state->kind);
 }
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -100,7 +100,8 @@
     const bv_member_t *self = bv_membership_self(node->membership);
     char *key = key_of(self->name);
     json_t *operations = json_array();
-    json_array_append_new(operations, bv_store_op_put(key, bv_member_row_render(self)));
+    json_array_append_new(operations,
+                          bv_store_op_put(key, bv_member_row_render(self)));
     g_free(key);
     bv_store_write(node->store, operations, true, on_row_written, NULL);
 }
--- a/node/serve.c
+++ b/node/serve.c
@@ -107,40 +107,10 @@
     bv_exporter_add(node->exporter, &span);
 }
 
-/* Children find their parent by request id while any of its work runs. */
-static void
-add_parent(bv_node_t *node, bv_served_t *served)
-{
-    bv_id_t *request = &served->dispatch->request;
-    served->next_of_request =
-        g_hash_table_lookup(node->served_by_request, request);
-    g_hash_table_replace(node->served_by_request, request, served);
-}
-
-static void
-remove_parent(bv_node_t *node, bv_served_t *served)
-{
-    const bv_id_t *request = &served->dispatch->request;
-    bv_served_t *first = g_hash_table_lookup(node->served_by_request, request);
-    bv_served_t **link = &first;
-    while (*link != NULL && *link != served) {
-        link = &(*link)->next_of_request;
-    }
-    if (*link == NULL) {
-        return;
-    }
-    *link = served->next_of_request;
-    g_hash_table_remove(node->served_by_request, request);
-    if (first != NULL) {
-        g_hash_table_insert(node->served_by_request, &first->dispatch->request,
-                            first);
-    }
-}
-
 void
 bv_serve_forget(bv_node_t *node, bv_served_t *served)
 {
-    remove_parent(node, served);
+    bv_parents_remove(node, served);
     g_hash_table_remove(node->served_by_attempt, &served->key);
     g_hash_table_remove(node->served, &served->id);
     bv_peer_message_destroy(served->dispatch);
@@ -207,7 +177,7 @@
     served->started = true;
     served->started_us = node->now_us;
     bv_credits_open(node->credits, &dispatch->request, dispatch->credit);
-    add_parent(node, served);
+    bv_parents_add(node, served);
     if (!send_to_target(node, served)) {
         bv_target_result_t *result = g_new0(bv_target_result_t, 1);
         result->id = served->id;
@@ -400,40 +370,6 @@
     offer(node, served);
 }
 
-void
-bv_serve_child_began(bv_node_t *node, const bv_id_t *request)
-{
-    bv_served_t *served =
-        g_hash_table_lookup(node->served_by_request, request);
-    if (served != NULL && served->children++ == 0) {
-        served->children_since_us = node->now_us;
-    }
-}
-
-static void
-take_pressure(bv_served_t *served, const bv_pressure_t *pressure)
-{
-    served->below.threshold =
-        MAX(served->below.threshold, pressure->threshold);
-    served->below.wait_us = MAX(served->below.wait_us, pressure->wait_us);
-}
-
-void
-bv_serve_child_ended(bv_node_t *node, const bv_id_t *request, uint32_t kind)
-{
-    bv_served_t *served =
-        g_hash_table_lookup(node->served_by_request, request);
-    if (served == NULL || served->children == 0) {
-        return;
-    }
-    if (--served->children == 0) {
-        served->children_us += node->now_us - served->children_since_us;
-    }
-    bv_pressure_t pressure =
-        bv_pressures_get(node->called, node->now_us, kind);
-    take_pressure(served, &pressure);
-}
-
 static void
 finish_admitted(bv_node_t *node, const bv_served_t *served,
                 const bv_target_result_t *result)
--- a/node/settings.c
+++ b/node/settings.c
@@ -127,8 +127,8 @@
     if (text == NULL) {
         return;
     }
-    if (colon == NULL || !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535,
-                                                     &port, NULL)) {
+    if (colon == NULL ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL)) {
         bv_findings_add(findings, path, pointer, "expected ADDRESS:PORT");
         return;
     }
@@ -155,12 +155,12 @@
     set_endpoint(&settings->outside, outside, settings->outside_port);
     set_endpoint(&settings->local, LOOPBACK, settings->local_port);
     set_endpoint(&settings->operators, LOOPBACK, settings->operator_port);
-    read_endpoint(settings->outside_text, path, "/outside",
-                  &settings->outside, findings);
+    read_endpoint(settings->outside_text, path, "/outside", &settings->outside,
+                  findings);
     read_endpoint(settings->local_text, path, "/local", &settings->local,
                   findings);
-    read_endpoint(settings->control_text, path, "/control",
-                  &settings->control, findings);
+    read_endpoint(settings->control_text, path, "/control", &settings->control,
+                  findings);
     read_endpoint(settings->ready_text, path, "/ready", &settings->ready,
                   findings);
     read_endpoint(settings->operator_text, path, "/operators",
@@ -172,8 +172,7 @@
         bv_findings_add(findings, path, "/", "missing key \"local_port\"");
     }
     if (settings->operators.port == 0) {
-        bv_findings_add(findings, path, "/",
-                        "missing key \"operator_port\"");
+        bv_findings_add(findings, path, "/", "missing key \"operator_port\"");
     }
 }
 
@@ -186,8 +185,7 @@
     check_hex_key(path, "/gossip_key", settings->gossip_key, findings);
     check_hex_key(path, "/gossip_key_previous", settings->gossip_key_previous,
                   findings);
-    if (settings->ticket_key == NULL &&
-        settings->dialect == BV_DIALECT_OWN) {
+    if (settings->ticket_key == NULL && settings->dialect == BV_DIALECT_OWN) {
         bv_findings_add(findings, path, "/", "missing key \"ticket_key\"");
     }
     check_hex_key(path, "/ticket_key", settings->ticket_key, findings);
@@ -266,8 +264,8 @@
     char *a = (char *)left + field->offset;
     char *b = (char *)right + field->offset;
     uint8_t kept[sizeof(int64_t)];
-    size_t size = field->kind == BV_FIELD_JSON ? sizeof(json_t *)
-                                               : sizeof(int64_t);
+    size_t size =
+        field->kind == BV_FIELD_JSON ? sizeof(json_t *) : sizeof(int64_t);
     memcpy(kept, a, size);
     memcpy(a, b, size);
     memcpy(b, kept, size);
--- a/standin/platform/service.c
+++ b/standin/platform/service.c
@@ -284,8 +284,7 @@
     const char *wait_ms = g_hash_table_lookup(watch->query, "WaitMs");
     watch->due_us = bv_clock_now_us();
     if (wait_ms != NULL) {
-        watch->due_us +=
-            g_ascii_strtoll(wait_ms, NULL, 10) * BV_US_PER_MS;
+        watch->due_us += g_ascii_strtoll(wait_ms, NULL, 10) * BV_US_PER_MS;
     }
     service->reads++;
     g_queue_push_tail(&service->watches, watch);
--- a/target/client.c
+++ b/target/client.c
@@ -109,8 +109,7 @@
     dialect->write_head(dialect->context, work, request);
     request->body = work->body != NULL ? g_bytes_ref(work->body) : NULL;
     request->once = !work->idempotent;
-    request->idle_limit_s =
-        (uint32_t)g_atomic_int_get(&client->idle_limit_s);
+    request->idle_limit_s = (uint32_t)g_atomic_int_get(&client->idle_limit_s);
     request->timeout_us = work->timeout_us;
     request->answer_limit = client->options.answer_limit;
     request->on_answer = take_answer;
--- a/target/meson-private/sanitycheckc.c
+++ b/target/meson-private/sanitycheckc.c
@@ -1,1 +1,6 @@
-int main(void) { int class=0; return class; }
+int
+main(void)
+{
+    int class = 0;
+    return class;
+}
--- a/tests/test_announced.c
+++ b/tests/test_announced.c
@@ -62,8 +62,12 @@
      BV_ANNOUNCED_CHANGED,
      "a",
      READY},
-    {"left", {{"a", 10, 1, READY}, {"a", 0, 0, LEFT}}, 2, BV_ANNOUNCED_CHANGED,
-     "a", LEFT},
+    {"left",
+     {{"a", 10, 1, READY}, {"a", 0, 0, LEFT}},
+     2,
+     BV_ANNOUNCED_CHANGED,
+     "a",
+     LEFT},
     {"left twice",
      {{"a", 10, 1, READY}, {"a", 0, 0, LEFT}, {"a", 0, 0, LEFT}},
      3,
@@ -122,7 +126,7 @@
 int
 main(void)
 {
-    const support_test_t tests[] = {
-        {"words", test_words, G_N_ELEMENTS(cases)}, {NULL}};
+    const support_test_t tests[] = {{"words", test_words, G_N_ELEMENTS(cases)},
+                                    {NULL}};
     return support_run("announced", tests);
 }
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -41,7 +41,7 @@
 int
 main(void)
 {
-    const support_test_t tests[] = {
-        {"heads", test_heads, G_N_ELEMENTS(cases)}, {NULL}};
+    const support_test_t tests[] = {{"heads", test_heads, G_N_ELEMENTS(cases)},
+                                    {NULL}};
     return support_run("framing", tests);
 }
--- a/tests/test_log_budget.c
+++ b/tests/test_log_budget.c
@@ -38,17 +38,15 @@
     for (int i = 0; i < 10000; i++) {
         bv_log_budget_take(&budget, US_PER_S, BV_LOG_CLASS_SUCCESS);
     }
-    ck_assert(
-        bv_log_budget_take(&budget, US_PER_S, BV_LOG_CLASS_FAILURE));
+    ck_assert(bv_log_budget_take(&budget, US_PER_S, BV_LOG_CLASS_FAILURE));
 }
 END_TEST
 
 int
 main(void)
 {
-    const support_test_t tests[] = {
-        {"bound", test_bound, G_N_ELEMENTS(cases)},
-        {"classes", test_classes, 1},
-        {NULL}};
+    const support_test_t tests[] = {{"bound", test_bound, G_N_ELEMENTS(cases)},
+                                    {"classes", test_classes, 1},
+                                    {NULL}};
     return support_run("log_budget", tests);
 }
--- a/tests/test_member_row.c
+++ b/tests/test_member_row.c
@@ -37,7 +37,9 @@
 END_TEST
 
 static const char *const damaged[] = {
-    "{}", "7", "{\"name\":\"a\"}",
+    "{}",
+    "7",
+    "{\"name\":\"a\"}",
     "{\"name\":1,\"data_centre\":\"m1\",\"region\":\"r\"}",
 };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -77,13 +77,10 @@
     {200, "Request-Id: 7\r\n", BV_OUTCOME_UNKNOWN, BV_REASON_BROKEN_ANSWER},
     {200, SIGNED "Content-Encoding: gzip\r\n", BV_OUTCOME_UNKNOWN,
      BV_REASON_BROKEN_ANSWER},
-    {503, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN,
-     BV_REASON_TARGET_REFUSED},
-    {400, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN,
-     BV_REASON_TARGET_REFUSED},
+    {503, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN, BV_REASON_TARGET_REFUSED},
+    {400, "Not-Executed: 1\r\n", BV_OUTCOME_NOT_RUN, BV_REASON_TARGET_REFUSED},
     {503, "", BV_OUTCOME_RAN, BV_REASON_NONE},
-    {421, "Instance-Id: i-2\r\n", BV_OUTCOME_NOT_RUN,
-     BV_REASON_WRONG_TARGET},
+    {421, "Instance-Id: i-2\r\n", BV_OUTCOME_NOT_RUN, BV_REASON_WRONG_TARGET},
 };
 
 START_TEST(test_answer)
@@ -132,8 +129,9 @@
 #define BEAT "/v1/instances/i-7/heartbeat"
 #define INFO "\"Info\":{\"Service\":\"a\",\"Slots\":4}"
 #define ADDRESS "\"Address\":\"10.0.0.1:80\""
-#define STATUS "\"Status\":{\"State\":\"ready\",\"Sequence\":4,"              \
-               "\"ColdRemainingMs\":0}"
+#define STATUS                                                                \
+    "\"Status\":{\"State\":\"ready\",\"Sequence\":4,"                         \
+    "\"ColdRemainingMs\":0}"
 
 static const announcement_case_t announcement_cases[] = {
     {BEAT, "{" ADDRESS "," INFO "," STATUS ",\"born\":99}", true,
@@ -175,8 +173,8 @@
         .path = g_strdup(row->path),
         .body = g_bytes_new(row->body, strlen(row->body)),
     };
-    bool good = dialect->read_announcement(dialect->context, &call, &word,
-                                           findings);
+    bool good =
+        dialect->read_announcement(dialect->context, &call, &word, findings);
     ck_assert_int_eq(good, row->good);
     if (good) {
         ck_assert_str_eq(word.instance, "i-7");
--- a/tests/test_retry_after.c
+++ b/tests/test_retry_after.c
@@ -33,7 +33,7 @@
 int
 main(void)
 {
-    const support_test_t tests[] = {
-        {"range", test_range, G_N_ELEMENTS(cases)}, {NULL}};
+    const support_test_t tests[] = {{"range", test_range, G_N_ELEMENTS(cases)},
+                                    {NULL}};
     return support_run("retry_after", tests);
 }
