Run the node as one loop; move the target client out of the build's folder

Cause: a call crossed some fourteen hand-overs between threads, each with a write, a wake-up and a read; and the platform's build puts its output into target/, where sources stood, so that build output was committed with earlier commits (now removed and ignored). Ruled out: keeping a thread for each duty on the path of a call; store, gossip, operators, traces and the log keep theirs. Change: the node's loop waits in one epoll set for listeners, peer link, target client and events of other threads; targets/ holds the target client.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -14,6 +14,7 @@
 
 #define CONNECTION_MEMORY_BYTES 32768
 #define CONNECTION_LIMIT 10000
+#define TIMEOUT_MOST_MS 60000
 #define BODY_LIMIT_BYTES (1024 * 1024)
 #define IDLE_TIMEOUT_US (120 * BV_US_PER_S)
 
@@ -24,6 +25,8 @@
     bv_watch_t *watch;
     gint closed;
     gint open_calls;
+    /* Of a driven listener: when it is next to be run. */
+    int64_t due_us;
     /* Limits in force; changed by other threads. */
     gint header_limit;
     gint body_limit;
@@ -190,6 +193,9 @@
 {
     bv_listener_t *listener = exchange->listener;
     MHD_resume_connection(exchange->connection);
+    if (listener->options.driven) {
+        listener->due_us = 0;
+    }
     g_atomic_int_add(&listener->open_calls, -1);
 }
 
@@ -418,12 +424,14 @@
         return NULL;
     }
     if (options->on_gone != NULL) {
-        bv_watch_options_t watch = {options->on_gone, options->context};
+        bv_watch_options_t watch = {options->on_gone, options->context,
+                                    options->driven};
         listener->watch = bv_watch_start(&watch);
     }
+    unsigned int mode =
+        options->driven ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
     listener->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-            MHD_USE_SUPPRESS_DATE_NO_CLOCK,
+        mode | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_SUPPRESS_DATE_NO_CLOCK,
         options->port, NULL, NULL, handle, listener, MHD_OPTION_SOCK_ADDR,
         &address, MHD_OPTION_URI_LOG_CALLBACK, create_exchange, listener,
         MHD_OPTION_NOTIFY_COMPLETED, destroy_exchange, listener,
@@ -443,6 +451,34 @@
     return listener;
 }
 
+void
+bv_listener_fds(const bv_listener_t *listener, int fds[BV_LISTENER_FDS])
+{
+    fds[0] = MHD_get_daemon_info(listener->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+                 ->listen_fd;
+    fds[1] = listener->watch != NULL ? bv_watch_fd(listener->watch) : -1;
+}
+
+int64_t
+bv_listener_due_us(const bv_listener_t *listener)
+{
+    return listener->due_us;
+}
+
+void
+bv_listener_run(bv_listener_t *listener)
+{
+    MHD_UNSIGNED_LONG_LONG timeout_ms = TIMEOUT_MOST_MS;
+    MHD_run(listener->daemon);
+    MHD_get_timeout(listener->daemon, &timeout_ms);
+    listener->due_us = bv_clock_now_us() +
+                       (int64_t)MIN(timeout_ms, TIMEOUT_MOST_MS) *
+                           BV_US_PER_MS;
+    if (listener->watch != NULL) {
+        bv_watch_run(listener->watch);
+    }
+}
+
 void
 bv_listener_quiesce(bv_listener_t *listener)
 {
--- a/caller/watch.c
+++ b/caller/watch.c
@@ -55,22 +55,39 @@
     apr_thread_mutex_unlock(watch->mutex);
 }
 
+static void
+wait_once(bv_watch_t *watch, int wait_ms)
+{
+    struct epoll_event events[EVENTS_AT_ONCE];
+    int count = epoll_wait(watch->epoll_fd, events, EVENTS_AT_ONCE, wait_ms);
+    for (int i = 0; i < count; i++) {
+        notice(watch, events[i].data.fd);
+    }
+}
+
 static void *APR_THREAD_FUNC
 watch_run(apr_thread_t *thread, void *data)
 {
     (void)thread;
     bv_watch_t *watch = data;
     while (!g_atomic_int_get(&watch->stopping)) {
-        struct epoll_event events[EVENTS_AT_ONCE];
-        int count =
-            epoll_wait(watch->epoll_fd, events, EVENTS_AT_ONCE, WAIT_MS);
-        for (int i = 0; i < count; i++) {
-            notice(watch, events[i].data.fd);
-        }
+        wait_once(watch, WAIT_MS);
     }
     return NULL;
 }
 
+int
+bv_watch_fd(const bv_watch_t *watch)
+{
+    return watch->epoll_fd;
+}
+
+void
+bv_watch_run(bv_watch_t *watch)
+{
+    wait_once(watch, 0);
+}
+
 bv_watch_t *
 bv_watch_start(const bv_watch_options_t *options)
 {
@@ -82,16 +99,20 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     apr_thread_mutex_create(&watch->mutex, APR_THREAD_MUTEX_DEFAULT,
                             watch->pool);
-    apr_thread_create(&watch->thread, NULL, watch_run, watch, watch->pool);
+    if (!options->driven) {
+        apr_thread_create(&watch->thread, NULL, watch_run, watch, watch->pool);
+    }
     return watch;
 }
 
 void
 bv_watch_stop(bv_watch_t *watch)
 {
-    apr_status_t result;
-    g_atomic_int_set(&watch->stopping, 1);
-    apr_thread_join(&result, watch->thread);
+    if (!watch->options.driven) {
+        apr_status_t result;
+        g_atomic_int_set(&watch->stopping, 1);
+        apr_thread_join(&result, watch->thread);
+    }
     close(watch->epoll_fd);
     g_hash_table_destroy(watch->connections);
     apr_pool_destroy(watch->pool);
--- a/collector/exporter.c
+++ b/collector/exporter.c
@@ -130,7 +130,7 @@
 bv_exporter_start(apr_pool_t *pool, const bv_exporter_options_t *options)
 {
     bv_exporter_t *exporter = g_new0(bv_exporter_t, 1);
-    bv_http_client_options_t http = {64, 2};
+    bv_http_client_options_t http = {.ring_capacity = 64, .keep = 2};
     exporter->url = g_strconcat(options->url, "/v1/traces", NULL);
     exporter->name = g_strdup(options->name);
     exporter->ring = bv_ring_create(pool, options->ring_capacity);
--- a/common/http_call.c
+++ b/common/http_call.c
@@ -27,7 +27,7 @@
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
     wait.answered = bv_latch_create(pool);
-    bv_http_client_options_t options = {4, 1};
+    bv_http_client_options_t options = {.ring_capacity = 4, .keep = 1};
     bv_http_client_t *client = bv_http_client_start(pool, &options);
     bv_http_request_t *request =
         bv_http_request_create(call->method, call->url);
--- a/common/http_client.c
+++ b/common/http_client.c
@@ -29,6 +29,7 @@
 } command_t;
 
 struct bv_http_client {
+    bool driven;
     CURLM *multi;
     bv_http_poll_t *poll;
     bv_ring_t *ring;
@@ -311,6 +312,25 @@
     }
 }
 
+int
+bv_http_client_fd(const bv_http_client_t *client)
+{
+    return bv_http_poll_fd(client->poll);
+}
+
+int64_t
+bv_http_client_due_us(const bv_http_client_t *client)
+{
+    return bv_http_poll_due_us(client->poll);
+}
+
+void
+bv_http_client_run(bv_http_client_t *client)
+{
+    bv_http_poll_run(client->poll, 0);
+    finish_done(client);
+}
+
 static void *APR_THREAD_FUNC
 client_run(apr_thread_t *thread, void *data)
 {
@@ -332,13 +352,16 @@
     client->multi = curl_multi_init();
     curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
                       (long)options->keep);
-    client->ring = bv_ring_create(pool, options->ring_capacity);
+    client->ring = bv_ring_create(pool, MAX(options->ring_capacity, 1));
     client->poll =
         bv_http_poll_create(pool, client->multi, bv_ring_fd(client->ring));
     client->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->idle =
         g_ptr_array_new_with_free_func((GDestroyNotify)curl_easy_cleanup);
-    apr_thread_create(&client->thread, NULL, client_run, client, pool);
+    client->driven = options->driven;
+    if (!client->driven) {
+        apr_thread_create(&client->thread, NULL, client_run, client, pool);
+    }
     return client;
 }
 
@@ -355,10 +378,12 @@
 void
 bv_http_client_stop(bv_http_client_t *client)
 {
-    g_atomic_int_set(&client->stopping, 1);
-    bv_ring_wake(client->ring);
-    apr_status_t result;
-    apr_thread_join(&result, client->thread);
+    if (!client->driven) {
+        apr_status_t result;
+        g_atomic_int_set(&client->stopping, 1);
+        bv_ring_wake(client->ring);
+        apr_thread_join(&result, client->thread);
+    }
     run_commands(client);
     finish_all(client);
     g_hash_table_destroy(client->transfers);
@@ -380,6 +405,10 @@
 bool
 bv_http_client_send(bv_http_client_t *client, bv_http_request_t *request)
 {
+    if (client->driven) {
+        start(client, request);
+        return true;
+    }
     command_t *command = g_new0(command_t, 1);
     command->request = request;
     if (!push(client, command)) {
@@ -392,6 +421,10 @@
 bool
 bv_http_client_cancel(bv_http_client_t *client, uint64_t id)
 {
+    if (client->driven) {
+        cancel(client, id);
+        return true;
+    }
     command_t *command = g_new0(command_t, 1);
     command->cancel = id;
     return push(client, command);
--- a/common/http_poll.c
+++ b/common/http_poll.c
@@ -118,6 +118,18 @@
     g_hash_table_destroy(poll->sockets);
 }
 
+int
+bv_http_poll_fd(const bv_http_poll_t *poll)
+{
+    return poll->epoll_fd;
+}
+
+int64_t
+bv_http_poll_due_us(const bv_http_poll_t *poll)
+{
+    return poll->timer_us < 0 ? INT64_MAX : poll->timer_us;
+}
+
 static int
 wait_ms(const bv_http_poll_t *poll, int limit_ms)
 {
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -30,6 +30,11 @@
     bv_port_t use;
     bv_listener_limits_t limits;
     const bv_caller_dialect_t *dialect;
+    /*
+     * No threads of its own: one thread makes all calls, gets all callbacks
+     * and runs the listener, see bv_listener_run().
+     */
+    bool driven;
     /*
      * A whole call; called on the listener's thread. False refuses it, as
      * unknown when it has a key, else as not run; after true bv_call_reply()
@@ -52,6 +57,15 @@
 bv_listener_t *bv_listener_start(const bv_listener_options_t *options,
                                  GError **error);
 
+/*
+ * A driven listener is run when one of its descriptors (-1: none) is readable,
+ * when it is due, and after replies.
+ */
+#define BV_LISTENER_FDS 2
+void bv_listener_fds(const bv_listener_t *listener, int fds[BV_LISTENER_FDS]);
+int64_t bv_listener_due_us(const bv_listener_t *listener);
+void bv_listener_run(bv_listener_t *listener);
+
 /* Changes the limits; from any thread. Zero fields stay as they are. */
 void bv_listener_set_limits(bv_listener_t *listener,
                             const bv_listener_limits_t *limits);
--- a/include/berylvane/caller/watch.h
+++ b/include/berylvane/caller/watch.h
@@ -2,13 +2,14 @@
 #define BERYLVANE_CALLER_WATCH_H
 
 #include <apr_pools.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
  * watch - notices callers that close their connection before the answer
  *
  * libmicrohttpd does not look at a suspended connection, so the sockets of
- * connections are watched by a thread of their own. A caller that shuts
+ * connections are watched apart from it. A caller that shuts
  * down its sending side counts as gone.
  */
 typedef struct bv_watch bv_watch_t;
@@ -20,11 +21,17 @@
      */
     void (*on_gone)(void *context, uint64_t tag);
     void *context;
+    /* No thread of its own: see bv_watch_run(). */
+    bool driven;
 } bv_watch_options_t;
 
 bv_watch_t *bv_watch_start(const bv_watch_options_t *options);
 void bv_watch_stop(bv_watch_t *watch);
 
+/* A driven watch is run when its descriptor is readable. */
+int bv_watch_fd(const bv_watch_t *watch);
+void bv_watch_run(bv_watch_t *watch);
+
 /* A connection was accepted on, or is closed with, the socket `fd`. */
 void bv_watch_open(bv_watch_t *watch, int fd);
 void bv_watch_close(bv_watch_t *watch, int fd);
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -7,7 +7,7 @@
 #include <stdint.h>
 
 /*
- * http_client - HTTP requests on one thread, by libcurl's multi interface
+ * http_client - HTTP requests by one thread, by libcurl's multi interface
  *
  * libcurl sends a request again by itself when a reused connection closes
  * before the first byte of the answer. A request that is `once` therefore
@@ -65,12 +65,22 @@
     uint32_t ring_capacity;
     /* Connections kept for reuse. */
     uint32_t keep;
+    /*
+     * No thread of its own: one thread makes all calls, runs the client when
+     * bv_http_client_fd() is readable or bv_http_client_due_us() has come, and
+     * gets the answers there.
+     */
+    bool driven;
 } bv_http_client_options_t;
 
 bv_http_client_t *
 bv_http_client_start(apr_pool_t *pool,
                      const bv_http_client_options_t *options);
 
+int bv_http_client_fd(const bv_http_client_t *client);
+int64_t bv_http_client_due_us(const bv_http_client_t *client);
+void bv_http_client_run(bv_http_client_t *client);
+
 /* Stops the thread; unfinished requests are answered as cancelled. */
 void bv_http_client_stop(bv_http_client_t *client);
 
--- a/include/berylvane/common/http_poll.h
+++ b/include/berylvane/common/http_poll.h
@@ -24,6 +24,12 @@
 /* Has the closing of a transfer's sockets noticed; for each easy handle. */
 void bv_http_poll_attach(bv_http_poll_t *poll, CURL *easy);
 
+/* Readable when a socket has an event. */
+int bv_http_poll_fd(const bv_http_poll_t *poll);
+
+/* When libcurl wants to act though nothing happens; INT64_MAX for never. */
+int64_t bv_http_poll_due_us(const bv_http_poll_t *poll);
+
 /* Waits up to `limit_ms` and lets libcurl act on what happened. */
 void bv_http_poll_run(bv_http_poll_t *poll, int limit_ms);
 
--- a/include/berylvane/node/dialect.h
+++ b/include/berylvane/node/dialect.h
@@ -4,7 +4,7 @@
 #include "berylvane/caller/dialect.h"
 #include "berylvane/common/findings.h"
 #include "berylvane/core/announced.h"
-#include "berylvane/target/dialect.h"
+#include "berylvane/targets/dialect.h"
 
 /*
  * dialect - how a node speaks with callers, its target and operators
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -26,15 +26,18 @@
 #include "berylvane/peer/gossip.h"
 #include "berylvane/peer/link.h"
 #include "berylvane/platform/store.h"
-#include "berylvane/target/client.h"
+#include "berylvane/targets/client.h"
 
 #include <apr_pools.h>
+#include <pthread.h>
 
 /*
  * node - the decision thread and what it owns
  *
- * All fields below are touched by the decision thread only. Other threads
- * hand over events through the ring.
+ * One thread runs the loop: it takes calls, decides, and speaks with peers and
+ * the target, since a hand-over between threads costs more than these steps.
+ * All fields below are touched by it only. Other threads (store, gossip,
+ * operators, traces) hand over events through the ring.
  */
 typedef struct bv_node bv_node_t;
 
@@ -104,7 +107,13 @@
     const bv_dialect_t *dialect;
     apr_pool_t *pool;
     GRand *random;
+    /* Thread of the loop, and what the loop waits for. */
+    pthread_t thread;
+    int epoll_fd;
+    int64_t link_check_us;
+    /* Events of other threads; of this one; messages to this node itself. */
     bv_ring_t *events;
+    GQueue inbox;
     GQueue loopback;
     int64_t now_us;
     int64_t started_us;
@@ -194,6 +203,18 @@
 void bv_node_deliver(bv_node_t *node, void (*run)(bv_node_t *, void *),
                      void *data);
 
+/*
+ * loop: one epoll set over the listeners, the peer link, the target client and
+ * the events of other threads.
+ */
+void bv_loop_create(bv_node_t *node);
+void bv_loop_destroy(bv_node_t *node);
+void bv_loop_add_listener(bv_node_t *node, bv_port_t use);
+
+/* Waits up to `limit_us` for something to do, and does it. */
+void bv_loop_once(bv_node_t *node, int64_t limit_us);
+void bv_loop_drop_events(bv_node_t *node);
+
 /* calls: the caller side. */
 void bv_calls_take(bv_node_t *node, void *call);
 
--- a/include/berylvane/peer/link.h
+++ b/include/berylvane/peer/link.h
@@ -6,7 +6,7 @@
 #include <apr_pools.h>
 
 /*
- * link - ZeroMQ connections between nodes, owned by one thread
+ * link - ZeroMQ connections between nodes
  *
  * Each node binds a ROUTER. For each peer it calls it connects a DEALER, which
  * carries one numbered session; opening the next session replaces it by a
@@ -23,22 +23,27 @@
     /* Z85 CURVE keys of the whole system; NULL for plain links. */
     const char *public_key;
     const char *secret_key;
-    uint32_t ring_capacity;
-    /* Called on the link's thread; takes the message. */
+    /* Called within any call of the link; takes the message. */
     void (*on_message)(void *context, bv_peer_message_t *message);
     void *context;
 } bv_link_options_t;
 
-/* Binds and starts the thread; NULL and a GError when that fails. */
+/* Binds; NULL and a GError when that fails. All calls are of one thread. */
 bv_link_t *bv_link_start(apr_pool_t *pool, const bv_link_options_t *options,
                          GError **error);
 void bv_link_stop(bv_link_t *link);
 
+/* Readable when bv_link_run() has something to do. */
+int bv_link_fd(const bv_link_t *link);
+
+/* Receives what has come; also closes connections that were replaced. */
+void bv_link_run(bv_link_t *link);
+
 /*
  * Sends to the member at `address`:`port` over its connection, made when
  * missing, or a fresh one when `message->session` is newer. A message to an
  * older incarnation than the connection's is dropped. Takes the message;
- * false, with nothing sent, when the ring is full.
+ * false, with nothing sent, when the connection's queue is full.
  */
 bool bv_link_send(bv_link_t *link, const char *member, const char *address,
                   uint16_t port, bv_peer_message_t *message);
@@ -47,6 +52,6 @@
 bool bv_link_answer(bv_link_t *link, bv_peer_message_t *message);
 
 /* Closes the connection to a member that is gone. */
-bool bv_link_forget(bv_link_t *link, const char *member);
+void bv_link_forget(bv_link_t *link, const char *member);
 
 #endif
--- a/include/berylvane/target/client.h
+++ b/include/berylvane/targets/client.h
@@ -1,7 +1,7 @@
-#ifndef BERYLVANE_TARGET_CLIENT_H
-#define BERYLVANE_TARGET_CLIENT_H
+#ifndef BERYLVANE_TARGETS_CLIENT_H
+#define BERYLVANE_TARGETS_CLIENT_H
 
-#include "berylvane/target/dialect.h"
+#include "berylvane/targets/dialect.h"
 
 #include <apr_pools.h>
 
@@ -14,12 +14,11 @@
 typedef struct bv_target_client bv_target_client_t;
 
 typedef struct {
-    uint32_t ring_capacity;
     uint32_t keep;
     size_t answer_limit;
     /* NULL: berylvane's own headers. */
     const bv_target_dialect_t *dialect;
-    /* Called on the client's thread; takes the result. */
+    /* Called within bv_target_client_run() or _cancel(); takes the result. */
     void (*on_result)(void *context, bv_target_result_t *result);
     void *context;
 } bv_target_client_options_t;
@@ -29,12 +28,20 @@
                        const bv_target_client_options_t *options);
 void bv_target_client_stop(bv_target_client_t *client);
 
-/* Sends work; false, with nothing sent, when the ring is full. */
-bool bv_target_client_send(bv_target_client_t *client,
+/*
+ * All calls are of one thread, which runs the client when its descriptor is
+ * readable or the time that it is due has come.
+ */
+int bv_target_client_fd(const bv_target_client_t *client);
+int64_t bv_target_client_due_us(const bv_target_client_t *client);
+void bv_target_client_run(bv_target_client_t *client);
+
+/* Sends work. */
+void bv_target_client_send(bv_target_client_t *client,
                            const bv_target_work_t *work);
 
 /* Closes the connection of running work, which tells the target. */
-bool bv_target_client_cancel(bv_target_client_t *client, uint64_t id);
+void bv_target_client_cancel(bv_target_client_t *client, uint64_t id);
 
 void bv_target_result_destroy(bv_target_result_t *result);
 
--- a/include/berylvane/target/dialect.h
+++ b/include/berylvane/targets/dialect.h
@@ -1,5 +1,5 @@
-#ifndef BERYLVANE_TARGET_DIALECT_H
-#define BERYLVANE_TARGET_DIALECT_H
+#ifndef BERYLVANE_TARGETS_DIALECT_H
+#define BERYLVANE_TARGETS_DIALECT_H
 
 #include "berylvane/common/http_client.h"
 #include "berylvane/core/types.h"
--- /dev/null
+++ b/node/loop.c
@@ -0,0 +1,223 @@
+#include "berylvane/common/clock.h"
+#include "berylvane/node/node.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define EVENTS_AT_ONCE 32
+#define IDLE_WAIT_US (BV_US_PER_S / 10)
+#define BUSY_WAIT_US (10 * BV_US_PER_MS)
+#define TICK_US BV_US_PER_MS
+#define LINK_CHECK_US BV_US_PER_S
+#define DELIVER_PAUSE_US 1000
+
+/* Sources of the epoll set: listeners by their use, and these. */
+enum {
+    SOURCE_EVENTS = BV_PORT_END,
+    SOURCE_LINK,
+    SOURCE_TARGET,
+    SOURCE_END,
+};
+
+bool
+bv_node_post(bv_node_t *node, void (*run)(bv_node_t *, void *), void *data)
+{
+    bv_event_t *event = g_new(bv_event_t, 1);
+    event->run = run;
+    event->data = data;
+    if (pthread_equal(node->thread, pthread_self())) {
+        g_queue_push_tail(&node->inbox, event);
+        return true;
+    }
+    if (bv_ring_push(node->events, event)) {
+        return true;
+    }
+    g_free(event);
+    return false;
+}
+
+void
+bv_node_deliver(bv_node_t *node, void (*run)(bv_node_t *, void *), void *data)
+{
+    while (!bv_node_post(node, run, data)) {
+        usleep(DELIVER_PAUSE_US);
+    }
+}
+
+static void
+add_source(const bv_node_t *node, int fd, uint32_t source)
+{
+    struct epoll_event event = {.events = EPOLLIN, .data.u32 = source};
+    epoll_ctl(node->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+void
+bv_loop_create(bv_node_t *node)
+{
+    node->thread = pthread_self();
+    node->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    add_source(node, bv_ring_fd(node->events), SOURCE_EVENTS);
+    add_source(node, bv_link_fd(node->link), SOURCE_LINK);
+    add_source(node, bv_target_client_fd(node->target_client), SOURCE_TARGET);
+}
+
+void
+bv_loop_destroy(bv_node_t *node)
+{
+    close(node->epoll_fd);
+}
+
+void
+bv_loop_add_listener(bv_node_t *node, bv_port_t use)
+{
+    int fds[BV_LISTENER_FDS];
+    bv_listener_fds(node->listeners[use], fds);
+    for (int i = 0; i < BV_LISTENER_FDS; i++) {
+        if (fds[i] >= 0) {
+            add_source(node, fds[i], use);
+        }
+    }
+}
+
+static void
+run_event(bv_node_t *node, bv_event_t *event)
+{
+    event->run(node, event->data);
+    g_free(event);
+}
+
+static void
+run_inbox(bv_node_t *node)
+{
+    for (;;) {
+        bv_event_t *event = g_queue_pop_head(&node->inbox);
+        bv_peer_message_t *message = g_queue_pop_head(&node->loopback);
+        if (event == NULL && message == NULL) {
+            return;
+        }
+        if (event != NULL) {
+            run_event(node, event);
+        }
+        if (message != NULL) {
+            bv_peers_take(node, message);
+        }
+    }
+}
+
+void
+bv_loop_drop_events(bv_node_t *node)
+{
+    for (;;) {
+        bv_event_t *event = bv_ring_pop(node->events);
+        if (event == NULL) {
+            break;
+        }
+        run_event(node, event);
+    }
+    run_inbox(node);
+}
+
+static void
+tick(bv_node_t *node)
+{
+    bv_calls_tick(node);
+    bv_serve_tick(node);
+    bv_keyed_tick(node);
+    bv_members_tick(node);
+    bv_configs_tick(node);
+    bv_drain_tick(node);
+    bv_decisions_tick(node);
+    if (node->now_us >= node->link_check_us) {
+        node->link_check_us = node->now_us + LINK_CHECK_US;
+        bv_link_run(node->link);
+    }
+    node->next_tick_us = node->now_us + TICK_US;
+}
+
+/* What is due though nothing has happened. */
+static void
+run_due(bv_node_t *node)
+{
+    for (int use = 0; use < BV_PORT_END; use++) {
+        bv_listener_t *listener = node->listeners[use];
+        if (listener != NULL &&
+            bv_listener_due_us(listener) <= node->now_us) {
+            bv_listener_run(listener);
+        }
+    }
+    if (bv_target_client_due_us(node->target_client) <= node->now_us) {
+        bv_target_client_run(node->target_client);
+    }
+}
+
+static int64_t
+due_us(const bv_node_t *node, int64_t limit_us)
+{
+    bool busy = bv_calls_count(node) > 0 || bv_serve_count(node) > 0;
+    int64_t due_us =
+        node->now_us + MIN(limit_us, busy ? BUSY_WAIT_US : IDLE_WAIT_US);
+    due_us = MIN(due_us, bv_target_client_due_us(node->target_client));
+    for (int use = 0; use < BV_PORT_END; use++) {
+        if (node->listeners[use] != NULL) {
+            due_us = MIN(due_us, bv_listener_due_us(node->listeners[use]));
+        }
+    }
+    return due_us;
+}
+
+static int
+wait_ms(const bv_node_t *node, int64_t limit_us)
+{
+    if (node->inbox.length > 0 || node->loopback.length > 0) {
+        return 0;
+    }
+    int64_t left_us = MAX(0, due_us(node, limit_us) - node->now_us);
+    return (int)((left_us + BV_US_PER_MS - 1) / BV_US_PER_MS);
+}
+
+static void
+run_source(bv_node_t *node, uint32_t source)
+{
+    switch (source) {
+    case SOURCE_EVENTS:
+        bv_ring_clear(node->events);
+        bv_loop_drop_events(node);
+        return;
+    case SOURCE_LINK:
+        bv_link_run(node->link);
+        return;
+    case SOURCE_TARGET:
+        bv_target_client_run(node->target_client);
+        return;
+    default:
+        bv_listener_run(node->listeners[source]);
+        return;
+    }
+}
+
+void
+bv_loop_once(bv_node_t *node, int64_t limit_us)
+{
+    struct epoll_event events[EVENTS_AT_ONCE];
+    int count = epoll_wait(node->epoll_fd, events, EVENTS_AT_ONCE,
+                           wait_ms(node, limit_us));
+    node->now_us = bv_clock_now_us();
+    for (int i = 0; i < count; i++) {
+        run_source(node, events[i].data.u32);
+    }
+    run_inbox(node);
+    if (node->now_us >= node->next_tick_us) {
+        tick(node);
+        run_inbox(node);
+    }
+    run_due(node);
+    g_ptr_array_set_size(node->finished, 0);
+}
+
+void
+bv_node_run(bv_node_t *node)
+{
+    while (node->drain.phase != BV_DRAIN_DONE) {
+        bv_loop_once(node, IDLE_WAIT_US);
+    }
+}
--- a/node/node.c
+++ b/node/node.c
@@ -5,11 +5,8 @@
 #include "berylvane/node/call.h"
 
 #include <string.h>
-#include <unistd.h>
 
 #define EVENT_RING_CAPACITY 16384
-#define LINK_RING_CAPACITY 16384
-#define TARGET_RING_CAPACITY 8192
 #define STORE_RING_CAPACITY 4096
 #define SPAN_RING_CAPACITY 8192
 #define TARGET_KEEP_CONNECTIONS 512
@@ -18,32 +15,8 @@
 #define SETTLED_LIMIT 65536
 #define CALLERS_LIMIT 65536
 #define ANSWERS_BYTES (8 * 1024 * 1024)
-#define IDLE_WAIT_US (BV_US_PER_S / 10)
-#define BUSY_WAIT_US (10 * BV_US_PER_MS)
-#define TICK_US BV_US_PER_MS
-#define DELIVER_PAUSE_US 1000
 #define JOURNAL_CAPACITY 8192
-
-bool
-bv_node_post(bv_node_t *node, void (*run)(bv_node_t *, void *), void *data)
-{
-    bv_event_t *event = g_new(bv_event_t, 1);
-    event->run = run;
-    event->data = data;
-    if (bv_ring_push(node->events, event)) {
-        return true;
-    }
-    g_free(event);
-    return false;
-}
-
-void
-bv_node_deliver(bv_node_t *node, void (*run)(bv_node_t *, void *), void *data)
-{
-    while (!bv_node_post(node, run, data)) {
-        usleep(DELIVER_PAUSE_US);
-    }
-}
+#define CLOSE_PAUSE_US (5 * BV_US_PER_MS)
 
 static bool
 on_call(void *context, bv_call_t *call)
@@ -118,6 +91,7 @@
     node->served = g_hash_table_new(g_int64_hash, g_int64_equal);
     node->served_by_request = g_hash_table_new(bv_id_hash, bv_id_equal);
     g_queue_init(&node->loopback);
+    g_queue_init(&node->inbox);
 }
 
 static void
@@ -130,7 +104,6 @@
         .ring_capacity = STORE_RING_CAPACITY,
     };
     bv_target_client_options_t target = {
-        .ring_capacity = TARGET_RING_CAPACITY,
         .keep = TARGET_KEEP_CONNECTIONS,
         .answer_limit = ANSWER_LIMIT,
         .dialect = node->dialect->target.write_head != NULL
@@ -161,7 +134,6 @@
         .port = (uint16_t)settings->peer_port,
         .public_key = settings->curve_public_key,
         .secret_key = settings->curve_secret_key,
-        .ring_capacity = LINK_RING_CAPACITY,
         .on_message = on_message,
         .context = node,
     };
@@ -184,13 +156,18 @@
                        : NULL,
         .on_call = on_call,
         .on_gone = serves ? on_gone : NULL,
+        .driven = true,
         .context = node,
     };
     if (endpoint->port == 0) {
         return true;
     }
     node->listeners[use] = bv_listener_start(&options, error);
-    return node->listeners[use] != NULL;
+    if (node->listeners[use] == NULL) {
+        return false;
+    }
+    bv_loop_add_listener(node, use);
+    return true;
 }
 
 static bool
@@ -254,6 +231,7 @@
     start_clients(node);
     bv_rendezvous_create(node);
     bv_configs_create(node);
+    bv_loop_create(node);
     if (!start_listeners(node, error)) {
         return NULL;
     }
@@ -286,70 +264,6 @@
     bv_node_deliver(node, take_reload, NULL);
 }
 
-static void
-run_loopback(bv_node_t *node)
-{
-    for (;;) {
-        bv_peer_message_t *message = g_queue_pop_head(&node->loopback);
-        if (message == NULL) {
-            return;
-        }
-        bv_peers_take(node, message);
-    }
-}
-
-static void
-tick(bv_node_t *node)
-{
-    bv_calls_tick(node);
-    bv_serve_tick(node);
-    bv_keyed_tick(node);
-    bv_members_tick(node);
-    bv_configs_tick(node);
-    bv_drain_tick(node);
-    bv_decisions_tick(node);
-    node->next_tick_us = node->now_us + TICK_US;
-}
-
-static int64_t
-wait_us(const bv_node_t *node)
-{
-    bool busy = bv_calls_count(node) > 0 || bv_serve_count(node) > 0;
-    return busy ? BUSY_WAIT_US : IDLE_WAIT_US;
-}
-
-void
-bv_node_run(bv_node_t *node)
-{
-    while (node->drain.phase != BV_DRAIN_DONE) {
-        bv_event_t *event = bv_ring_wait(node->events, wait_us(node));
-        node->now_us = bv_clock_now_us();
-        if (event != NULL) {
-            event->run(node, event->data);
-            g_free(event);
-        }
-        run_loopback(node);
-        if (node->now_us >= node->next_tick_us) {
-            tick(node);
-            run_loopback(node);
-        }
-        g_ptr_array_set_size(node->finished, 0);
-    }
-}
-
-static void
-drop_events(bv_node_t *node)
-{
-    for (;;) {
-        bv_event_t *event = bv_ring_pop(node->events);
-        if (event == NULL) {
-            return;
-        }
-        event->run(node, event->data);
-        g_free(event);
-    }
-}
-
 static void
 destroy_core(bv_node_t *node)
 {
@@ -400,12 +314,12 @@
         }
     }
     bv_operator_close(node->operator_listener);
-    drop_events(node);
-    while (!listeners_idle(node)) {
-        usleep(DELIVER_PAUSE_US);
-        drop_events(node);
+    do {
         bv_calls_abandon(node);
-    }
+        bv_loop_once(node, CLOSE_PAUSE_US);
+    } while (!listeners_idle(node));
+    /* The last replies leave. */
+    bv_loop_once(node, CLOSE_PAUSE_US);
 }
 
 void
@@ -417,14 +331,16 @@
     }
     bv_operator_stop(node->operator_listener);
     bv_target_client_stop(node->target_client);
-    drop_events(node);
+    bv_loop_drop_events(node);
     bv_store_stop(node->store);
-    drop_events(node);
+    bv_loop_drop_events(node);
     bv_exporter_stop(node->exporter);
     node->exporter = NULL;
     bv_link_stop(node->link);
     bv_gossip_stop(node->gossip);
-    drop_events(node);
+    bv_loop_drop_events(node);
+    bv_loop_drop_events(node);
+    bv_loop_destroy(node);
     g_queue_clear_full(&node->loopback,
                        (GDestroyNotify)bv_peer_message_destroy);
     destroy_core(node);
--- a/node/serve.c
+++ b/node/serve.c
@@ -131,7 +131,7 @@
     bv_serve_forget(node, served);
 }
 
-static bool
+static void
 send_to_target(bv_node_t *node, bv_served_t *served)
 {
     char span[BV_TRACE_TEXT_BYTES];
@@ -153,7 +153,7 @@
         .idempotent = dispatch->idempotent,
         .timeout_us = served->deadline_us - node->now_us,
     };
-    return bv_target_client_send(node->target_client, &work);
+    bv_target_client_send(node->target_client, &work);
 }
 
 /* The work holds a slot; without one, `bypass` work is outside admission. */
@@ -178,13 +178,7 @@
     served->started_us = node->now_us;
     bv_credits_open(node->credits, &dispatch->request, dispatch->credit);
     bv_parents_add(node, served);
-    if (!send_to_target(node, served)) {
-        bv_target_result_t *result = g_new0(bv_target_result_t, 1);
-        result->id = served->id;
-        result->outcome = BV_OUTCOME_NOT_RUN;
-        result->reason = BV_REASON_RING_FULL;
-        bv_serve_result(node, result);
-    }
+    send_to_target(node, served);
 }
 
 static bv_attempt_key_t
--- a/peer/link.c
+++ b/peer/link.c
@@ -3,9 +3,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
-#include "berylvane/common/ring.h"
 
-#include <apr_thread_proc.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -15,21 +13,14 @@
 #define MESSAGE_LIMIT (BV_PEER_BODY_LIMIT + 65536)
 #define RETIRED_LIMIT 64
 #define RETIRED_IDLE_US (15 * BV_US_PER_S)
-#define RETIRED_CHECK_MS 1000
 #define EVENTS_AT_ONCE 64
 
-typedef enum {
-    COMMAND_SEND,
-    COMMAND_ANSWER,
-    COMMAND_FORGET,
-} command_kind_t;
-
+/* Where a message goes. */
 typedef struct {
-    command_kind_t kind;
-    char member[BV_NAME_BYTES];
-    char address[BV_ADDRESS_BYTES];
+    const char *member;
+    const char *address;
     uint16_t port;
-    bv_peer_message_t *message;
+    const bv_peer_message_t *message;
 } command_t;
 
 typedef struct {
@@ -45,13 +36,10 @@
     bv_link_options_t options;
     void *zmq;
     void *router;
-    bv_ring_t *ring;
-    apr_thread_t *thread;
     GHashTable *connections;
     /* Replaced connections, which only receive; the oldest first. */
     GQueue retired;
     int epoll_fd;
-    gint stopping;
 };
 
 /* A ZeroMQ socket's descriptor tells that its state may have changed. */
@@ -74,13 +62,6 @@
     g_free(connection);
 }
 
-static void
-free_command(command_t *command)
-{
-    bv_peer_message_destroy(command->message);
-    g_free(command);
-}
-
 static void
 set_number(void *socket, int option, int value)
 {
@@ -280,103 +261,56 @@
     }
 }
 
-static void
+static bool
 send_body(void *socket, const bv_peer_message_t *message)
 {
     GBytes *bytes = bv_peer_message_encode(message);
     gsize size;
     const void *data = g_bytes_get_data(bytes, &size);
-    if (zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0) {
-        bv_counter_add(BV_COUNT_PEER_SENT, 1);
-    }
+    bool sent = zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0;
+    bv_counter_add(sent ? BV_COUNT_PEER_SENT : BV_COUNT_RING_FULL, 1);
     g_bytes_unref(bytes);
-}
-
-static void
-send_answer(bv_link_t *link, const bv_peer_message_t *message)
-{
-    gsize size;
-    const void *route = g_bytes_get_data(message->route, &size);
-    if (zmq_send(link->router, route, size, ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
-        return;
-    }
-    send_body(link->router, message);
-    receive_all(link, NULL);
+    return sent;
 }
 
 /*
  * Sending may take the signal that something can be received, so that a look
  * follows each send.
  */
-static void
+static bool
 send_message(bv_link_t *link, const command_t *command)
 {
     connection_t *connection = connection_for(link, command);
-    if (connection != NULL) {
-        send_body(connection->socket, command->message);
-        receive_all(link, connection);
-    }
-}
-
-static void
-run_command(bv_link_t *link, command_t *command)
-{
-    switch (command->kind) {
-    case COMMAND_SEND:
-        send_message(link, command);
-        break;
-    case COMMAND_ANSWER:
-        send_answer(link, command->message);
-        break;
-    case COMMAND_FORGET:
-        g_hash_table_remove(link->connections, command->member);
-        break;
+    if (connection == NULL) {
+        return true;
     }
-    free_command(command);
+    bool sent = send_body(connection->socket, command->message);
+    receive_all(link, connection);
+    return sent;
 }
 
+/* `source` is a connection, or the link for its ROUTER. */
 static void
-drain_ring(bv_link_t *link)
+take_event(bv_link_t *link, void *source)
 {
-    bv_ring_clear(link->ring);
-    for (;;) {
-        command_t *command = bv_ring_pop(link->ring);
-        if (command == NULL) {
-            return;
-        }
-        run_command(link, command);
-    }
+    receive_all(link, source == link ? NULL : source);
 }
 
-/* `source` is a connection, the link for its ROUTER, or NULL for the ring. */
-static void
-take_event(bv_link_t *link, void *source)
+void
+bv_link_run(bv_link_t *link)
 {
-    if (source == link) {
-        receive_all(link, NULL);
-    }
-    else if (source != NULL) {
-        receive_all(link, source);
+    struct epoll_event events[EVENTS_AT_ONCE];
+    int count = epoll_wait(link->epoll_fd, events, EVENTS_AT_ONCE, 0);
+    for (int i = 0; i < count; i++) {
+        take_event(link, events[i].data.ptr);
     }
+    close_idle(link);
 }
 
-static void *APR_THREAD_FUNC
-link_run(apr_thread_t *thread, void *data)
+int
+bv_link_fd(const bv_link_t *link)
 {
-    (void)thread;
-    bv_link_t *link = data;
-    while (!g_atomic_int_get(&link->stopping)) {
-        struct epoll_event events[EVENTS_AT_ONCE];
-        int timeout_ms = link->retired.length > 0 ? RETIRED_CHECK_MS : -1;
-        int count =
-            epoll_wait(link->epoll_fd, events, EVENTS_AT_ONCE, timeout_ms);
-        for (int i = 0; i < count; i++) {
-            take_event(link, events[i].data.ptr);
-        }
-        close_idle(link);
-        drain_ring(link);
-    }
-    return NULL;
+    return link->epoll_fd;
 }
 
 bv_link_t *
@@ -399,25 +333,17 @@
         zmq_ctx_term(link->zmq);
         return NULL;
     }
-    link->ring = bv_ring_create(pool, options->ring_capacity);
     link->connections =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_connection);
     g_queue_init(&link->retired);
     link->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-    watch_fd(link, bv_ring_fd(link->ring), NULL);
     watch_fd(link, descriptor_of(link->router), link);
-    apr_thread_create(&link->thread, NULL, link_run, link, pool);
     return link;
 }
 
 void
 bv_link_stop(bv_link_t *link)
 {
-    g_atomic_int_set(&link->stopping, 1);
-    bv_ring_wake(link->ring);
-    apr_status_t result;
-    apr_thread_join(&result, link->thread);
-    drain_ring(link);
     g_hash_table_destroy(link->connections);
     g_queue_clear_full(&link->retired, free_connection);
     zmq_close(link->router);
@@ -425,44 +351,31 @@
     close(link->epoll_fd);
 }
 
-static bool
-push(bv_link_t *link, command_t *command)
-{
-    if (bv_ring_push(link->ring, command)) {
-        return true;
-    }
-    bv_counter_add(BV_COUNT_RING_FULL, 1);
-    free_command(command);
-    return false;
-}
-
 bool
 bv_link_send(bv_link_t *link, const char *member, const char *address,
              uint16_t port, bv_peer_message_t *message)
 {
-    command_t *command = g_new0(command_t, 1);
-    command->kind = COMMAND_SEND;
-    command->message = message;
-    command->port = port;
-    g_strlcpy(command->member, member, BV_NAME_BYTES);
-    g_strlcpy(command->address, address, BV_ADDRESS_BYTES);
-    return push(link, command);
+    command_t command = {member, address, port, message};
+    bool sent = send_message(link, &command);
+    bv_peer_message_destroy(message);
+    return sent;
 }
 
 bool
 bv_link_answer(bv_link_t *link, bv_peer_message_t *message)
 {
-    command_t *command = g_new0(command_t, 1);
-    command->kind = COMMAND_ANSWER;
-    command->message = message;
-    return push(link, command);
+    gsize size;
+    const void *route = g_bytes_get_data(message->route, &size);
+    bool sent =
+        zmq_send(link->router, route, size, ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
+        send_body(link->router, message);
+    receive_all(link, NULL);
+    bv_peer_message_destroy(message);
+    return sent;
 }
 
-bool
+void
 bv_link_forget(bv_link_t *link, const char *member)
 {
-    command_t *command = g_new0(command_t, 1);
-    command->kind = COMMAND_FORGET;
-    g_strlcpy(command->member, member, BV_NAME_BYTES);
-    return push(link, command);
+    g_hash_table_remove(link->connections, member);
 }
--- a/target/meson-private/sanitycheckc.c
+++ /dev/null
@@ -1,6 +0,0 @@
-int
-main(void)
-{
-    int class = 0;
-    return class;
-}
--- a/target/client.c
+++ b/targets/client.c
@@ -1,4 +1,4 @@
-#include "berylvane/target/client.h"
+#include "berylvane/targets/client.h"
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/headers.h"
@@ -86,7 +86,7 @@
     if (options->dialect == NULL) {
         client->options.dialect = &bv_target_own_dialect;
     }
-    bv_http_client_options_t http = {options->ring_capacity, options->keep};
+    bv_http_client_options_t http = {.keep = options->keep, .driven = true};
     client->http = bv_http_client_start(pool, &http);
     return client;
 }
@@ -97,7 +97,25 @@
     bv_http_client_stop(client->http);
 }
 
-bool
+int
+bv_target_client_fd(const bv_target_client_t *client)
+{
+    return bv_http_client_fd(client->http);
+}
+
+int64_t
+bv_target_client_due_us(const bv_target_client_t *client)
+{
+    return bv_http_client_due_us(client->http);
+}
+
+void
+bv_target_client_run(bv_target_client_t *client)
+{
+    bv_http_client_run(client->http);
+}
+
+void
 bv_target_client_send(bv_target_client_t *client, const bv_target_work_t *work)
 {
     char *url = g_strdup_printf("http://%s:%u%s", work->address, work->port,
@@ -114,13 +132,13 @@
     request->answer_limit = client->options.answer_limit;
     request->on_answer = take_answer;
     request->context = client;
-    return bv_http_client_send(client->http, request);
+    bv_http_client_send(client->http, request);
 }
 
-bool
+void
 bv_target_client_cancel(bv_target_client_t *client, uint64_t id)
 {
-    return bv_http_client_cancel(client->http, id);
+    bv_http_client_cancel(client->http, id);
 }
 
 void
--- a/target/own_dialect.c
+++ b/targets/own_dialect.c
@@ -1,6 +1,6 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/headers.h"
-#include "berylvane/target/dialect.h"
+#include "berylvane/targets/dialect.h"
 
 static void
 add_line(GString *lines, const char *name, const char *value)
