--- a/bench/naive/main.c
+++ b/bench/naive/main.c
@@ -53,7 +53,8 @@
 {
     GError *error = NULL;
     apr_pool_t *pool = bv_program_start();
-    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY, .keep = KEEP_CONNECTIONS};
+    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY,
+                                     .keep = KEEP_CONNECTIONS};
     naive_t naive = {
         .settings = settings,
         .events = bv_ring_create(pool, RING_CAPACITY),
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -471,9 +471,9 @@
     MHD_UNSIGNED_LONG_LONG timeout_ms = TIMEOUT_MOST_MS;
     MHD_run(listener->daemon);
     MHD_get_timeout(listener->daemon, &timeout_ms);
-    listener->due_us = bv_clock_now_us() +
-                       (int64_t)MIN(timeout_ms, TIMEOUT_MOST_MS) *
-                           BV_US_PER_MS;
+    listener->due_us =
+        bv_clock_now_us() +
+        (int64_t)MIN(timeout_ms, TIMEOUT_MOST_MS) * BV_US_PER_MS;
     if (listener->watch != NULL) {
         bv_watch_run(listener->watch);
     }
--- a/load/run.c
+++ b/load/run.c
@@ -297,7 +297,8 @@
 load_run_t *
 load_run(const load_settings_t *settings, apr_pool_t *pool)
 {
-    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY, .keep = KEEP_CONNECTIONS};
+    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY,
+                                     .keep = KEEP_CONNECTIONS};
     load_run_t *run = g_new0(load_run_t, 1);
     run->results = g_array_new(FALSE, FALSE, sizeof(load_result_t));
     sender_t sender = {
--- a/node/loop.c
+++ b/node/loop.c
@@ -140,8 +140,7 @@
 {
     for (int use = 0; use < BV_PORT_END; use++) {
         bv_listener_t *listener = node->listeners[use];
-        if (listener != NULL &&
-            bv_listener_due_us(listener) <= node->now_us) {
+        if (listener != NULL && bv_listener_due_us(listener) <= node->now_us) {
             bv_listener_run(listener);
         }
     }
--- a/standin/target/main.c
+++ b/standin/target/main.c
@@ -37,7 +37,8 @@
 {
     GError *error = NULL;
     apr_pool_t *pool = bv_program_start();
-    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY, .keep = KEEP_CONNECTIONS};
+    bv_http_client_options_t http = {.ring_capacity = RING_CAPACITY,
+                                     .keep = KEEP_CONNECTIONS};
     bv_http_client_t *client = bv_http_client_start(pool, &http);
     target_t *target =
         target_create(settings, bv_ring_create(pool, RING_CAPACITY), client);
