--- a/core/budget.c
+++ b/core/budget.c
@@ -1,9 +1,12 @@
 #include "berylvane/core/budget.h"
 
-#define RESERVE_PERCENT 1000
+#define RESERVE_TRIES 10
 #define TRY_PERCENT 100
+/* Repeats from further up may spend this many tries ahead. */
+#define DEBT_TRIES 100
 
 struct bv_budgets {
+    int32_t reserve_percent;
     GHashTable *percents;
 };
 
@@ -11,6 +14,7 @@
 bv_budgets_create(void)
 {
     bv_budgets_t *budgets = g_new0(bv_budgets_t, 1);
+    budgets->reserve_percent = RESERVE_TRIES * TRY_PERCENT;
     budgets->percents =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return budgets;
@@ -26,13 +30,13 @@
     g_free(budgets);
 }
 
-static uint32_t *
+static int32_t *
 percent_of(bv_budgets_t *budgets, const char *service)
 {
-    uint32_t *percent = g_hash_table_lookup(budgets->percents, service);
+    int32_t *percent = g_hash_table_lookup(budgets->percents, service);
     if (percent == NULL) {
-        percent = g_new(uint32_t, 1);
-        *percent = RESERVE_PERCENT;
+        percent = g_new(int32_t, 1);
+        *percent = budgets->reserve_percent;
         g_hash_table_insert(budgets->percents, g_strdup(service), percent);
     }
     return percent;
@@ -42,17 +46,38 @@
 bv_budgets_earn(bv_budgets_t *budgets, const char *service,
                 uint32_t ratio_percent)
 {
-    uint32_t *percent = percent_of(budgets, service);
-    *percent = MIN(*percent + ratio_percent, RESERVE_PERCENT);
+    int32_t *percent = percent_of(budgets, service);
+    *percent =
+        MIN(*percent + (int32_t)ratio_percent, budgets->reserve_percent);
 }
 
 bool
 bv_budgets_spend(bv_budgets_t *budgets, const char *service)
 {
-    uint32_t *percent = percent_of(budgets, service);
+    int32_t *percent = percent_of(budgets, service);
     if (*percent < TRY_PERCENT) {
         return false;
     }
     *percent -= TRY_PERCENT;
     return true;
 }
+
+void
+bv_budgets_charge(bv_budgets_t *budgets, const char *service)
+{
+    int32_t *percent = percent_of(budgets, service);
+    *percent = MAX(*percent - TRY_PERCENT, -DEBT_TRIES * TRY_PERCENT);
+}
+
+void
+bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries)
+{
+    budgets->reserve_percent = (int32_t)tries * TRY_PERCENT;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, budgets->percents);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        int32_t *percent = value;
+        *percent = MIN(*percent, budgets->reserve_percent);
+    }
+}
--- a/core/config.c
+++ b/core/config.c
@@ -32,6 +32,7 @@
 typedef struct {
     int64_t credits;
     int64_t ratio_percent;
+    int64_t reserve;
     int64_t reroutes;
     int64_t queue_target_ms;
     int64_t queue_limit;
@@ -70,6 +71,7 @@
 static const bv_field_t retry_fields[] = {
     NUMBER("credits", credits, 0, 16),
     NUMBER("ratio_percent", ratio_percent, 0, 100),
+    NUMBER("reserve", reserve, 1, 1000),
     NUMBER("reroutes", reroutes, 0, 4),
     {NULL}};
 
@@ -220,6 +222,7 @@
     numbers_t numbers = {
         .credits = 3,
         .ratio_percent = 10,
+        .reserve = 10,
         .reroutes = 2,
         .queue_target_ms = 10,
         .queue_limit = 1000,
@@ -234,6 +237,7 @@
     bv_config_t *config = build->config;
     config->retry_credits = (uint32_t)numbers.credits;
     config->retry_ratio_percent = (uint32_t)numbers.ratio_percent;
+    config->retry_reserve = (uint32_t)numbers.reserve;
     config->reroutes_limit = (uint32_t)numbers.reroutes;
     config->queue_target_us = numbers.queue_target_ms * BV_US_PER_MS;
     config->queue_limit = (uint32_t)numbers.queue_limit;
--- a/core/outlier.c
+++ b/core/outlier.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define WEIGHT 0.25
+#define FAILING_WEIGHT 0.05
 #define RATIO_LIMIT 20.0
 #define EJECT_SLOWNESS 3.0
 #define RETURN_RATIO 2.0
@@ -44,9 +45,25 @@
     return false;
 }
 
+double
+bv_outlier_failing(const bv_outlier_t *outlier, int64_t now_us)
+{
+    double age = (double)(now_us - outlier->judged_us) / FADE_HALF_LIFE_US;
+    return outlier->failing * exp2(-age);
+}
+
+static void
+judge(bv_outlier_t *outlier, int64_t now_us, bool failed)
+{
+    double failing = bv_outlier_failing(outlier, now_us);
+    outlier->failing = failing + (failed - failing) * FAILING_WEIGHT;
+    outlier->judged_us = now_us;
+}
+
 static void
 learn(bv_outlier_t *outlier, int64_t now_us, const bv_outlier_sample_t *sample)
 {
+    judge(outlier, now_us, sample->failed);
     outlier->failures = sample->failed ? outlier->failures + 1 : 0;
     if (sample->failed) {
         return;
--- a/core/router.c
+++ b/core/router.c
@@ -11,6 +11,8 @@
 #define IN_FLIGHT_WEIGHT 4.0
 /* A farther tier must be this many times better. */
 #define SPILL_FACTOR 2.0
+/* Cost of a member that fails all work, as a multiple of its latency. */
+#define FAILING_WEIGHT 8.0
 #define HEDGE_SAMPLES 64
 #define HEDGE_SHARE 0.95
 #define FRESH_US 100000
@@ -221,7 +223,10 @@
                         bv_outlier_slowness(&entry->outlier, now_us);
     double load = entry->in_flight * IN_FLIGHT_WEIGHT / entry->member.slots;
     double wait_us = (double)entry->wait_us * freshness(entry, now_us);
-    return latency_us * (1 + load * cold_factor(entry, now_us)) + wait_us;
+    double failing = bv_outlier_failing(&entry->outlier, now_us);
+    return latency_us * (1 + load * cold_factor(entry, now_us)) *
+               (1 + FAILING_WEIGHT * failing) +
+           wait_us;
 }
 
 /* Whether `left` is to be preferred. */
@@ -389,7 +394,10 @@
 learn(entry_t *entry, int64_t now_us, const bv_feedback_t *feedback)
 {
     bool ran = feedback->outcome == BV_OUTCOME_RAN;
-    if (entry->service == NULL || feedback->outcome == BV_OUTCOME_NOT_RUN) {
+    /* A node's refusal is a matter of load; its target's own is a failure. */
+    bool refused = feedback->outcome == BV_OUTCOME_NOT_RUN &&
+                   feedback->reason != BV_REASON_TARGET_REFUSED;
+    if (entry->service == NULL || refused) {
         return;
     }
     GPtrArray *tier = entry->service->tiers[entry->tier];
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -60,6 +60,8 @@
     uint64_t generation;
     uint32_t retry_credits;
     uint32_t retry_ratio_percent;
+    /* Further tries to a service that a node may make at once. */
+    uint32_t retry_reserve;
     uint32_t reroutes_limit;
     int64_t queue_target_us;
     uint32_t queue_limit;
--- a/include/berylvane/core/outlier.h
+++ b/include/berylvane/core/outlier.h
@@ -14,6 +14,9 @@
  */
 typedef struct {
     double slowness;
+    /* Share of failures, and when it was last moved. */
+    double failing;
+    int64_t judged_us;
     /* In a row. */
     uint32_t slow_calls;
     uint32_t failures;
@@ -46,6 +49,9 @@
  * Latency to expect over the route's mean. It fades with time, so that a
  * member that was slow is tried again.
  */
+/* Recent share of work that failed or that the target itself refused. */
+double bv_outlier_failing(const bv_outlier_t *outlier, int64_t now_us);
+
 double bv_outlier_slowness(const bv_outlier_t *outlier, int64_t now_us);
 
 /* The median of at least one value; sorts them. */
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -38,6 +38,8 @@
     uint16_t priority;
     /* Holds the request's ledger open: the entry node opened it. */
     bool entry;
+    /* Work further up the chain is a further try. */
+    bool repeat;
     bool bypass;
     bool traced;
     /* Holds the key. */
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -77,6 +77,9 @@
     bv_drain_phase_t phase;
     int64_t started_us;
     int64_t entered_us;
+    /* Times that readiness was denied, and the last one. */
+    uint32_t refusals;
+    int64_t refused_us;
 } bv_drain_t;
 
 /* Waiting for changes of the row that holds the configuration. */
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -67,6 +67,8 @@
     bool long_work;
     bool idempotent;
     bool bypass;
+    /* It is a further try, or was called by work that is one. */
+    bool repeat;
     uint32_t credit;
     /* Time left until the deadline; no clocks are compared. */
     int64_t remaining_us;
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -43,7 +43,7 @@
 
 static bv_peer_message_t *
 build_dispatch(const bv_node_t *node, const bv_call_state_t *state,
-               const bv_attempt_t *attempt)
+               bv_try_t kind, const bv_attempt_t *attempt)
 {
     bv_peer_message_t *message =
         bv_calls_message(node, state, BV_PEER_DISPATCH);
@@ -54,6 +54,7 @@
     message->idempotent = state->route->idempotent;
     message->bypass = state->bypass;
     message->credit = attempt->loan.amount;
+    message->repeat = state->repeat || kind == BV_RETRY || kind == BV_HEDGE;
     return message;
 }
 
@@ -77,7 +78,7 @@
                                            picked.name, picked.incarnation);
     g_strlcpy(attempt->member, picked.name, BV_NAME_BYTES);
     attempt->loan = bv_credits_lend(node->credits, &state->id);
-    bv_peer_message_t *message = build_dispatch(node, state, attempt);
+    bv_peer_message_t *message = build_dispatch(node, state, kind, attempt);
     if (!bv_peers_send(node, picked.name, message)) {
         bv_credits_return(node->credits, &state->id, &attempt->loan,
                           attempt->loan.amount);
--- a/node/drain.c
+++ b/node/drain.c
@@ -2,6 +2,9 @@
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
+#define NOTICE_REFUSALS 2
+/* For connections that were begun before the second refusal. */
+#define NOTICE_SETTLE_US (BV_US_PER_S / 5)
 /* Time for the last answers to leave the listeners. */
 #define LINGER_US (BV_US_PER_S / 5)
 
@@ -21,8 +24,6 @@
     node->draining = true;
     node->drain.started_us = node->now_us;
     enter(node, BV_DRAIN_NOTICE);
-    bv_membership_self_state(node->membership, BV_MEMBER_DRAINING);
-    bv_router_update(node->router, bv_membership_self(node->membership));
     bv_log(BV_LOG_INFO, "drain_started", "calls", BV_NUM(bv_calls_count(node)),
            "served", BV_NUM(bv_serve_count(node)), NULL);
 }
@@ -34,6 +35,26 @@
            (call->outside && node->drain.phase > BV_DRAIN_NOTICE);
 }
 
+/* From here on neither callers nor other nodes are to send work. */
+static void
+begin_finish(bv_node_t *node)
+{
+    if (node->listeners[BV_PORT_OUTSIDE] != NULL) {
+        bv_listener_quiesce(node->listeners[BV_PORT_OUTSIDE]);
+    }
+    bv_membership_self_state(node->membership, BV_MEMBER_DRAINING);
+    bv_router_update(node->router, bv_membership_self(node->membership));
+    enter(node, BV_DRAIN_FINISH);
+}
+
+/* Callers that asked twice whether they may come know that they may not. */
+static bool
+is_noticed(const bv_node_t *node)
+{
+    return node->drain.refusals >= NOTICE_REFUSALS &&
+           node->now_us - node->drain.refused_us >= NOTICE_SETTLE_US;
+}
+
 static bool
 is_idle(const bv_node_t *node)
 {
@@ -68,11 +89,8 @@
     int64_t notice_us = node->settings->drain_notice_ms * BV_US_PER_MS;
     switch (node->drain.phase) {
     case BV_DRAIN_NOTICE:
-        if (spent_us >= notice_us) {
-            if (node->listeners[BV_PORT_OUTSIDE] != NULL) {
-                bv_listener_quiesce(node->listeners[BV_PORT_OUTSIDE]);
-            }
-            enter(node, BV_DRAIN_FINISH);
+        if (spent_us >= notice_us || is_noticed(node)) {
+            begin_finish(node);
         }
         return;
     case BV_DRAIN_FINISH:
--- a/node/picks.c
+++ b/node/picks.c
@@ -65,6 +65,10 @@
 bv_picks_pay(bv_node_t *node, const bv_call_state_t *state, bv_try_t kind,
              bv_reason_t *reason)
 {
+    if (kind == BV_FIRST_TRY && state->repeat) {
+        bv_budgets_charge(node->budgets, state->service);
+        return true;
+    }
     if (kind == BV_FIRST_TRY) {
         bv_budgets_earn(node->budgets, state->service,
                         state->config->retry_ratio_percent);
--- a/node/readiness.c
+++ b/node/readiness.c
@@ -20,6 +20,10 @@
 void
 bv_readiness_answer(bv_node_t *node, bv_call_t *call)
 {
+    if (node->draining) {
+        node->drain.refusals++;
+        node->drain.refused_us = node->now_us;
+    }
     bv_reply_t reply = {
         .status = bv_node_ready(node) ? 200 : 503,
         .outcome = BV_OUTCOME_RAN,
--- a/node/serve.c
+++ b/node/serve.c
@@ -214,7 +214,7 @@
 static bv_reason_t
 own_refusal(const bv_node_t *node, const bv_peer_message_t *dispatch)
 {
-    if (node->draining) {
+    if (node->drain.phase > BV_DRAIN_NOTICE) {
         return BV_REASON_DRAINING;
     }
     if (!bv_target_usable(node) || dispatch->method == NULL ||
--- a/peer/message.c
+++ b/peer/message.c
@@ -109,6 +109,7 @@
     pack_boolean(packer, message->long_work);
     pack_boolean(packer, message->idempotent);
     pack_boolean(packer, message->bypass);
+    pack_boolean(packer, message->repeat);
     msgpack_pack_uint64(packer, message->credit);
     msgpack_pack_uint64(packer, (uint64_t)MAX(message->remaining_us, 0));
     bv_pack_text(packer, message->method);
@@ -135,7 +136,7 @@
 }
 
 #define HEAD_FIELDS 7
-#define CALL_FIELDS 15
+#define CALL_FIELDS 16
 #define ANSWER_FIELDS 8
 #define MESSAGE_FIELDS (HEAD_FIELDS + CALL_FIELDS + ANSWER_FIELDS + 1)
 
@@ -184,6 +185,7 @@
     message->long_work = bv_unpack_boolean(unpack);
     message->idempotent = bv_unpack_boolean(unpack);
     message->bypass = bv_unpack_boolean(unpack);
+    message->repeat = bv_unpack_boolean(unpack);
     message->credit = (uint32_t)bv_unpack_number(unpack, 255);
     message->remaining_us =
         (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -226,6 +226,42 @@
 }
 END_TEST
 
+/* Calls of repeated work count against the share, though none is held up. */
+typedef struct {
+    uint32_t firsts;
+    uint32_t repeats;
+    uint32_t percent;
+    uint32_t most;
+} charge_case_t;
+
+static const charge_case_t charge_cases[] = {
+    {1000, 0, 10, 102},
+    {1000, 50, 10, 52},
+    {1000, 100, 10, 2},
+    {1000, 200, 10, 2},
+};
+
+START_TEST(test_charge)
+{
+    const charge_case_t *row = &charge_cases[_i];
+    bv_budgets_t *budgets = bv_budgets_create();
+    uint32_t spent = 0;
+    uint32_t charged = 0;
+    bv_budgets_set_reserve(budgets, 2);
+    for (uint32_t i = 0; i < row->firsts; i++) {
+        bv_budgets_earn(budgets, "stock", row->percent);
+        if (charged * row->firsts < i * row->repeats) {
+            bv_budgets_charge(budgets, "stock");
+            charged++;
+        }
+        spent += bv_budgets_spend(budgets, "stock");
+    }
+    ck_assert_uint_le(spent, row->most);
+    ck_assert_uint_ge(spent + 3, row->most);
+    bv_budgets_destroy(budgets);
+}
+END_TEST
+
 /* A random run against the naive twin. */
 typedef struct {
     GRand *random;
@@ -351,6 +387,7 @@
         {"hedge_age", test_hedge_age, G_N_ELEMENTS(hedge_cases)},
         {"cold_start", test_cold_start, 1},
         {"budget", test_budget, G_N_ELEMENTS(budget_cases)},
+        {"charge", test_charge, G_N_ELEMENTS(charge_cases)},
         {"random", test_random, 1},
         {NULL}};
     return support_run("router", tests);
