Give calls of a target the priority of its work again

A failed try, reverted: raising calls of admitted work by 24 levels a hop let whole trees start that the last service could not carry. Conclusion: one priority along the chain, so that the entry sheds what the leaves shed.

--- a/core/types.c
+++ b/core/types.c
@@ -3,9 +3,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* What each call down the chain is raised by. */
-#define CHILD_LEVELS 24
-
 static const char *const outcome_names[] = {"not-run", "ran", "unknown"};
 static const char *const class_names[] = {"batch", "normal", "critical"};
 static const char *const reason_names[BV_REASON_END] = {
@@ -86,13 +83,6 @@
     return (uint16_t)(importance * BV_LEVELS + level % BV_LEVELS);
 }
 
-uint16_t
-bv_priority_of_child(uint16_t parent)
-{
-    uint16_t top = (uint16_t)(parent / BV_LEVELS * BV_LEVELS + BV_LEVELS - 1);
-    return (uint16_t)MIN(parent + CHILD_LEVELS, top);
-}
-
 uint8_t
 bv_customer_level(const char *customer)
 {
--- a/include/berylvane/core/types.h
+++ b/include/berylvane/core/types.h
@@ -70,12 +70,6 @@
 /* Priority from class and level: 0 is the least important. */
 uint16_t bv_priority(bv_class_t importance, uint8_t level);
 
-/*
- * Priority of a call that is part of a request already admitted: above new
- * work of its class, since refusing it wastes what was done for the request.
- */
-uint16_t bv_priority_of_child(uint16_t parent);
-
 /* Level of a customer in 0 to BV_LEVELS - 1, the same on every node. */
 uint8_t bv_customer_level(const char *customer);
 
--- a/node/calls.c
+++ b/node/calls.c
@@ -171,7 +171,7 @@
 {
     bv_parents_child_began(node, &state->id);
     state->deadline_us = MIN(state->deadline_us, parent->deadline_us);
-    state->priority = bv_priority_of_child(parent->dispatch->priority);
+    state->priority = parent->dispatch->priority;
     state->repeat = parent->dispatch->repeat;
     g_free(state->customer);
     state->customer = g_strdup(parent->dispatch->customer);
