--- a/node/key_peers.c
+++ b/node/key_peers.c
@@ -171,11 +171,14 @@
     state->id = message->request;
     state->config = bv_config_ref(node->config);
     state->route = route;
+    state->service = bv_parts_choose(node->parts, route);
+    state->kind = g_str_hash(route->name);
     state->bypass = route->mode == BV_MODE_BYPASS;
     state->priority = message->priority;
     state->customer = g_strdup(message->customer);
     state->start_wall_us = bv_clock_wall_us();
     state->deadline_us = node->now_us + message->remaining_us;
+    state->caller_deadline_us = state->deadline_us;
     bv_credits_open(node->credits, &state->id, message->credit);
     state->traced = node->exporter != NULL &&
                     bv_trace_parse(message->span, &state->parent);
