Go to other regions only when they are four times better; tests of bad input

Open: libmicrohttpd says its status line twice for a length that is no number; the connection is closed and nothing runs.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -6,6 +6,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/headers.h"
 #include "berylvane/common/log.h"
+#include "response.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -129,45 +130,6 @@
     return status;
 }
 
-static void
-add_response_line(void *context, const char *name, const char *value)
-{
-    MHD_add_response_header(context, name, value);
-}
-
-static void
-free_bytes(void *bytes)
-{
-    g_bytes_unref(bytes);
-}
-
-static struct MHD_Response *
-build_body(GBytes *body)
-{
-    if (body == NULL) {
-        return MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
-    }
-    gsize size;
-    const void *data = g_bytes_get_data(body, &size);
-    return MHD_create_response_from_buffer_with_free_callback_cls(
-        size, (void *)data, free_bytes, g_bytes_ref(body));
-}
-
-static struct MHD_Response *
-build_response(const bv_listener_t *listener, const bv_reply_t *reply)
-{
-    const bv_caller_dialect_t *dialect = listener->options.dialect;
-    struct MHD_Response *response = build_body(reply->body);
-    GString *lines = g_string_new(reply->headers);
-    dialect->write_head(dialect->context, reply, lines);
-    bv_headers_each(lines->str, add_response_line, response);
-    g_string_free(lines, TRUE);
-    if (reply->close) {
-        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
-    }
-    return response;
-}
-
 static int
 fd_of(struct MHD_Connection *connection)
 {
@@ -218,7 +180,8 @@
         bv_watch_remove(exchange->listener->watch, socket_of(exchange));
     }
     exchange->status = reply->status;
-    exchange->response = build_response(exchange->listener, reply);
+    exchange->response =
+        bv_response_build(exchange->listener->options.dialect, reply);
     resume(exchange);
 }
 
@@ -232,7 +195,8 @@
         .close = true,
     };
     bv_counter_add(BV_COUNT_ANSWERS_NOT_RUN, 1);
-    struct MHD_Response *response = build_response(exchange->listener, &reply);
+    struct MHD_Response *response =
+        bv_response_build(exchange->listener->options.dialect, &reply);
     enum MHD_Result result =
         MHD_queue_response(exchange->connection, status, response);
     MHD_destroy_response(response);
--- a/core/request.c
+++ b/core/request.c
@@ -158,8 +158,7 @@
 {
     return reason == BV_REASON_DRAINING ||
            reason == BV_REASON_WRONG_INCARNATION ||
-           reason == BV_REASON_STALE_SESSION ||
-           reason == BV_REASON_NO_TARGET;
+           reason == BV_REASON_STALE_SESSION || reason == BV_REASON_NO_TARGET;
 }
 
 /* A node refuses before its target is reached, but for these reasons. */
--- a/core/router.c
+++ b/core/router.c
@@ -9,8 +9,12 @@
 #define SUBSET_MEMBERS 24
 /* How much calls in flight from here weigh; other callers have theirs. */
 #define IN_FLIGHT_WEIGHT 4.0
-/* A farther tier must be this many times better. */
-#define SPILL_FACTOR 2.0
+/* A farther tier must be this many times better; links between regions are
+ * narrow and paid for by volume. */
+static const double spill_factors[BV_TIER_END] = {
+    [BV_TIER_REGION] = 1.5,
+    [BV_TIER_REST] = 4.0,
+};
 /* Cost of a member that fails all work, as a multiple of its latency. */
 #define FAILING_WEIGHT 8.0
 #define HEDGE_SAMPLES 64
@@ -311,7 +315,7 @@
     }
     return is_over(nearer, now_us, pick) ||
            cost_of(nearer, now_us, route) >
-               SPILL_FACTOR * cost_of(farther, now_us, route);
+               spill_factors[farther->tier] * cost_of(farther, now_us, route);
 }
 
 static entry_t *
--- a/tests/e2e/test_bad_input.c
+++ b/tests/e2e/test_bad_input.c
@@ -73,6 +73,82 @@
 }
 END_TEST
 
+/* Each hides a second request behind a length that can be read in two ways. */
+#define HIDDEN "GET /catalogue/hidden HTTP/1.1\r\nHost: x\r\n\r\n"
+
+static const char *const smuggled[] = {
+    "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" HIDDEN,
+    "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+    "Content-Length: 49\r\n\r\n" HIDDEN,
+    "POST /orders HTTP/1.1\r\nHost: x\r\n"
+    "Transfer-Encoding: xchunked\r\n\r\n" HIDDEN,
+    "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\n" HIDDEN,
+    "GET /catalogue/a HTTP/1.1\r\n\r\n" HIDDEN,
+};
+
+static size_t
+count_text(const char *text, const char *part)
+{
+    size_t count = 0;
+    for (const char *at = strstr(text, part); at != NULL;
+         at = strstr(at + 1, part)) {
+        count++;
+    }
+    return count;
+}
+
+/* One refusal, a closed connection, and nothing of it reaches a target. */
+START_TEST(test_smuggled)
+{
+    int fd = raw_connect(entry_ports()->outside);
+    ck_assert_int_ge(fd, 0);
+    raw_send(fd, smuggled[_i], strlen(smuggled[_i]), FALSE);
+    char *answer = raw_read(fd);
+    close(fd);
+    ck_assert_msg(g_str_has_prefix(answer, "HTTP/1.1 400 "), "got: %.80s",
+                  answer);
+    ck_assert_msg(count_text(answer, "HTTP/1.1 ") == 1, "got: %s", answer);
+    g_free(answer);
+    ck_assert_uint_eq(fixture_executions(fixture, "/catalogue/hidden"), 0);
+}
+END_TEST
+
+/*
+ * libmicrohttpd answers a length that is no number itself, and says its status
+ * line twice; the connection is closed and nothing reaches a target.
+ */
+START_TEST(test_negative_length)
+{
+    static const char request[] = "POST /orders HTTP/1.1\r\nHost: "
+                                  "x\r\nContent-Length: -1\r\n\r\n" HIDDEN;
+    int fd = raw_connect(entry_ports()->outside);
+    ck_assert_int_ge(fd, 0);
+    raw_send(fd, request, strlen(request), FALSE);
+    char *answer = raw_read(fd);
+    close(fd);
+    ck_assert_uint_ge(count_text(answer, "HTTP/1.1 400 "), 1);
+    ck_assert_uint_eq(count_text(answer, "HTTP/1.1 "),
+                      count_text(answer, "HTTP/1.1 400 "));
+    g_free(answer);
+    ck_assert_uint_eq(fixture_executions(fixture, "/catalogue/hidden"), 0);
+}
+END_TEST
+
+/* A hangup has the settings read again; the node serves on. */
+START_TEST(test_hangup)
+{
+    for (int i = 0; i < 3; i++) {
+        cluster_signal(fixture->cluster, CLUSTER_NODE, 0, SIGHUP);
+        ck_assert(cluster_wait_health(fixture->cluster, 0, 200, WAIT_US));
+        bv_http_reply_t reply = cluster_call(entry_ports()->outside, "GET",
+                                             "/catalogue/a", NULL, NULL);
+        ck_assert_uint_eq(reply.status, 200);
+        bv_http_reply_clear(&reply);
+    }
+}
+END_TEST
+
 /* Internal headers of an outside caller must have no effect. */
 START_TEST(test_forged_headers)
 {
@@ -215,6 +291,9 @@
 {
     const support_test_t tests[] = {
         {"requests", test_requests, G_N_ELEMENTS(request_cases)},
+        {"smuggled", test_smuggled, G_N_ELEMENTS(smuggled)},
+        {"negative_length", test_negative_length, 1},
+        {"hangup", test_hangup, 1},
         {"forged_headers", test_forged_headers, 1},
         {"peer_messages", test_peer_messages, G_N_ELEMENTS(frame_cases)},
         {"target_answers", test_target_answers, G_N_ELEMENTS(answer_cases)},
