Use all slots of a target where the configuration says so

Cause: the limit that adapts to latency kept a service of 26 slots at three or four while it refused by threshold; the latency of a target here varies with its own calls, neighbours and tails, which the limiter took for congestion (found in the log: refused, reason=threshold, attempts=3). Ruled out: a longer queue, a higher delay target.

--- a/core/config.c
+++ b/core/config.c
@@ -37,6 +37,7 @@
     int64_t queue_target_ms;
     int64_t queue_limit;
     int64_t long_share_percent;
+    bool fixed_limit;
     int64_t before_deadline_ms;
 } numbers_t;
 
@@ -79,6 +80,9 @@
     NUMBER("queue_target_ms", queue_target_ms, 1, 1000),
     NUMBER("queue_limit", queue_limit, 1, 100000),
     NUMBER("long_share_percent", long_share_percent, 1, 100),
+    {.name = "fixed_limit",
+     .kind = BV_FIELD_BOOLEAN,
+     .offset = offsetof(numbers_t, fixed_limit)},
     {NULL}};
 
 static const bv_field_t fencing_fields[] = {
@@ -242,6 +246,7 @@
     config->queue_target_us = numbers.queue_target_ms * BV_US_PER_MS;
     config->queue_limit = (uint32_t)numbers.queue_limit;
     config->long_share_percent = (uint32_t)numbers.long_share_percent;
+    config->fixed_limit = numbers.fixed_limit;
     config->fence_before_us = numbers.before_deadline_ms * BV_US_PER_MS;
 }
 
--- a/include/berylvane/core/admission.h
+++ b/include/berylvane/core/admission.h
@@ -18,6 +18,8 @@
     uint32_t queue_limit;
     int64_t queue_target_us;
     uint32_t long_share_percent;
+    /* All slots are used at once; else the limit adapts to latency. */
+    bool fixed_limit;
 } bv_admission_options_t;
 
 typedef enum {
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -66,6 +66,8 @@
     int64_t queue_target_us;
     uint32_t queue_limit;
     uint32_t long_share_percent;
+    /* Targets run as many calls as they have slots, whatever their latency. */
+    bool fixed_limit;
     int64_t fence_before_us;
     bv_caller_limits_t callers;
     GPtrArray *routes;
--- a/node/members.c
+++ b/node/members.c
@@ -177,6 +177,7 @@
         options.queue_limit = node->config->queue_limit;
         options.queue_target_us = node->config->queue_target_us;
         options.long_share_percent = node->config->long_share_percent;
+        options.fixed_limit = node->config->fixed_limit;
     }
     bv_admission_configure(node->admission, &options);
 }
