--- /dev/null
+++ b/tests/e2e/test_platform.c
@@ -0,0 +1,393 @@
+#include "../support.h"
+
+#include "berylvane/caller/listener.h"
+#include "berylvane/common/clock.h"
+#include "berylvane/common/headers.h"
+#include "berylvane/common/http_call.h"
+#include "berylvane/common/program.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/*
+ * The whole path in the platform's dialect: node processes, the stand-in
+ * store, and targets of this process that announce themselves.
+ */
+#define NODES 2
+#define PORTS 7
+#define WAIT_US (60 * BV_US_PER_S)
+#define POLL_US 20000
+#define CALL_TIMEOUT_US (5 * BV_US_PER_S)
+#define KEY "0000000000000000000000000000000000000000000000000000000000000000"
+
+enum {
+    PORT_OUTBOUND,
+    PORT_CONTROL,
+    PORT_READY,
+    PORT_OPERATORS,
+    PORT_PEER,
+    PORT_GOSSIP,
+    PORT_TARGET,
+};
+
+static const char *const services[NODES] = {"front", "back"};
+
+typedef struct {
+    uint16_t ports[PORTS];
+    bv_listener_t *target;
+    pid_t pid;
+    uint64_t sequence;
+    /* What the target says next; see take_call(). */
+    gint mode;
+    gint served;
+    char *caller;
+} node_t;
+
+enum {
+    MODE_SERVE,
+    MODE_REFUSE,
+    MODE_FOREIGN,
+};
+
+static struct {
+    node_t nodes[NODES];
+    uint16_t store_port;
+    pid_t store_pid;
+    char *directory;
+} world;
+
+/* A port that was free a moment ago. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static pid_t
+start_program(const char *const words[])
+{
+    GPid pid;
+    GError *error = NULL;
+    gboolean started =
+        g_spawn_async(NULL, (char **)words, NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
+                      NULL, NULL, &pid, &error);
+    ck_assert_msg(started, "%s", error != NULL ? error->message : "");
+    return pid;
+}
+
+static bv_http_reply_t
+call(uint16_t port, const char *method, const char *path, const char *headers,
+     const char *body)
+{
+    char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+    bv_http_call_t request = {
+        .method = method,
+        .url = url,
+        .headers = headers,
+        .body = body != NULL ? g_bytes_new(body, strlen(body)) : NULL,
+        .timeout_us = CALL_TIMEOUT_US,
+    };
+    bv_http_reply_t reply = bv_http_call(&request);
+    g_clear_pointer(&request.body, g_bytes_unref);
+    g_free(url);
+    return reply;
+}
+
+static uint16_t
+status_of(uint16_t port, const char *method, const char *path,
+          const char *headers, const char *body)
+{
+    bv_http_reply_t reply = call(port, method, path, headers, body);
+    uint16_t status = reply.status;
+    bv_http_reply_clear(&reply);
+    return status;
+}
+
+/* A target: echoes the id, signs, and remembers who called. */
+static bool
+take_call(void *context, bv_call_t *taken)
+{
+    node_t *node = context;
+    char *id = bv_headers_get(taken->headers, "Request-Id");
+    char *caller = bv_headers_get(taken->headers, "Caller-Service");
+    g_free(node->caller);
+    node->caller = caller;
+    bv_reply_t reply = {.status = 200};
+    char *headers =
+        g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
+    switch (g_atomic_int_get(&node->mode)) {
+    case MODE_REFUSE:
+        reply.status = 503;
+        reply.headers = "Not-Executed: 1\r\n";
+        break;
+    case MODE_FOREIGN:
+        reply.headers = "Request-Id: other\r\nResponse-Signature: s\r\n";
+        break;
+    default:
+        reply.headers = headers;
+        g_atomic_int_inc(&node->served);
+        break;
+    }
+    reply.body = g_bytes_new_static("whole", 5);
+    bv_call_reply(taken, &reply);
+    g_bytes_unref(reply.body);
+    g_free(headers);
+    g_free(id);
+    return true;
+}
+
+static uint16_t
+beat(size_t place, const char *state)
+{
+    node_t *node = &world.nodes[place];
+    char *body = g_strdup_printf(
+        "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
+        "\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":4},\"Status\":{"
+        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},\"born\":9}",
+        node->ports[PORT_TARGET], services[place], state,
+        (unsigned int)++node->sequence);
+    char *path = g_strdup_printf("/v1/instances/i-%zu/heartbeat", place);
+    uint16_t status =
+        status_of(node->ports[PORT_CONTROL], "POST", path, NULL, body);
+    g_free(path);
+    g_free(body);
+    return status;
+}
+
+static void
+put_config(uint32_t version, const char *prefix)
+{
+    char *config = g_strdup_printf(
+        "{\"Version\":\"r%u\",\"Services\":[{\"Name\":\"front\"},{\"Name\":"
+        "\"back\"}],\"Limits\":{\"MaxHeaderBytes\":16384},\"VirtualHosts\":[{"
+        "\"Hostname\":\"h.example\",\"Paths\":[{\"Name\":\"one\",\"Prefix\":"
+        "\"%s\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"Priority\":1,"
+        "\"Service\":\"back\",\"MaxAttempts\":2}]}]}",
+        version, prefix);
+    char *encoded = g_base64_encode((guchar *)config, strlen(config));
+    char *body = g_strdup_printf(
+        "{\"ExpectedRevision\":[],\"Writes\":[{\"Table\":\"op\",\"part\":\"\","
+        "\"Key\":\"config\",\"Value\":\"%s\"}],\"Remove\":[]}",
+        encoded);
+    ck_assert_uint_eq(
+        status_of(world.store_port, "POST", "/v1/rows-tx", NULL, body), 200);
+    g_free(body);
+    g_free(encoded);
+    g_free(config);
+}
+
+static char *
+write_settings(size_t place)
+{
+    const node_t *node = &world.nodes[place];
+    char *path = g_strdup_printf("%s/node-%zu.json", world.directory, place);
+    char *text = g_strdup_printf(
+        "{\"dialect\":\"platform\",\"name\":\"n-%zu\",\"service\":\"%s\","
+        "\"address\":\"127.0.0.1\",\"region\":\"r\",\"data_centre\":\"z\","
+        "\"outside\":\"127.0.0.1:%u\",\"control\":\"127.0.0.1:%u\",\"ready\":"
+        "\"127.0.0.1:%u\",\"operators\":\"127.0.0.1:%u\",\"peer_port\":%u,"
+        "\"gossip_port\":%u,\"platform_url\":\"http://127.0.0.1:%u\","
+        "\"gossip_key\":\"" KEY "\",\"probe_interval_ms\":200,"
+        "\"drain_notice_ms\":200,\"log_level\":\"error\"}",
+        place, services[place], node->ports[PORT_OUTBOUND],
+        node->ports[PORT_CONTROL], node->ports[PORT_READY],
+        node->ports[PORT_OPERATORS], node->ports[PORT_PEER],
+        node->ports[PORT_GOSSIP], world.store_port);
+    ck_assert(g_file_set_contents(path, text, -1, NULL));
+    g_free(text);
+    return path;
+}
+
+static void
+start_node(size_t place)
+{
+    node_t *node = &world.nodes[place];
+    for (int i = 0; i < PORTS; i++) {
+        node->ports[i] = free_port();
+    }
+    bv_listener_options_t target = {
+        .address = "127.0.0.1",
+        .port = node->ports[PORT_TARGET],
+        .on_call = take_call,
+        .context = node,
+    };
+    node->target = bv_listener_start(&target, NULL);
+    ck_assert_ptr_nonnull(node->target);
+    char *settings = write_settings(place);
+    const char *const words[] = {E2E_BUILD "/node/berylvane-node", "-s",
+                                 settings, NULL};
+    node->pid = start_program(words);
+    g_free(settings);
+}
+
+static uint16_t
+ready_status(size_t place)
+{
+    return status_of(world.nodes[place].ports[PORT_READY], "GET", "/v1/ready",
+                     NULL, NULL);
+}
+
+static uint16_t
+ask(const char *path, const char *more)
+{
+    char *headers = g_strdup_printf("Host: h.example\r\nRequest-Id: 7\r\n"
+                                    "Request-Deadline: 2000\r\n%s",
+                                    more);
+    uint16_t status = status_of(world.nodes[0].ports[PORT_OUTBOUND], "GET",
+                                path, headers, NULL);
+    g_free(headers);
+    return status;
+}
+
+/* Beats go on while a state of affairs is waited for. */
+static void
+wait_for(const char *path, uint16_t status)
+{
+    int64_t end_us = bv_clock_now_us() + WAIT_US;
+    uint16_t seen = 0;
+    while (seen != status) {
+        ck_assert_msg(bv_clock_now_us() < end_us, "%s: %u, not %u", path, seen,
+                      status);
+        for (size_t i = 0; i < NODES; i++) {
+            beat(i, "ready");
+        }
+        seen = ask(path, "");
+        usleep(POLL_US);
+    }
+}
+
+static void
+start_world(void)
+{
+    char port[8];
+    world.directory = g_dir_make_tmp("berylvane-XXXXXX", NULL);
+    world.store_port = free_port();
+    g_snprintf(port, sizeof(port), "%u", world.store_port);
+    const char *const words[] = {
+        E2E_BUILD "/standin/berylvane-standin-platform", "--port", port, NULL};
+    world.store_pid = start_program(words);
+    for (size_t i = 0; i < NODES; i++) {
+        start_node(i);
+    }
+    int64_t end_us = bv_clock_now_us() + WAIT_US;
+    while (status_of(world.store_port, "GET", "/v1/rows-get?Table=x", NULL,
+                     NULL) != 200) {
+        ck_assert(bv_clock_now_us() < end_us);
+        usleep(POLL_US);
+    }
+    put_config(1, "/a/");
+    wait_for("/a/1", 200);
+}
+
+static void
+stop_world(void)
+{
+    for (size_t i = 0; i < NODES; i++) {
+        kill(world.nodes[i].pid, SIGTERM);
+    }
+    for (size_t i = 0; i < NODES; i++) {
+        int status = -1;
+        waitpid(world.nodes[i].pid, &status, 0);
+        world.nodes[i].pid = 0;
+        ck_assert_int_eq(status, 0);
+        bv_listener_close(world.nodes[i].target);
+        bv_listener_stop(world.nodes[i].target);
+        g_free(world.nodes[i].caller);
+    }
+    kill(world.store_pid, SIGTERM);
+    waitpid(world.store_pid, NULL, 0);
+    world.store_pid = 0;
+    for (size_t i = 0; i < NODES; i++) {
+        char *path = g_strdup_printf("%s/node-%zu.json", world.directory, i);
+        remove(path);
+        g_free(path);
+    }
+    remove(world.directory);
+    g_free(world.directory);
+}
+
+/* Also after a failed check nothing is left running. */
+static void
+kill_rest(void)
+{
+    for (size_t i = 0; i < NODES; i++) {
+        if (world.nodes[i].pid > 0) {
+            kill(world.nodes[i].pid, SIGKILL);
+        }
+    }
+    if (world.store_pid > 0) {
+        kill(world.store_pid, SIGKILL);
+    }
+}
+
+/* One world for all steps: each builds on the one before. */
+START_TEST(test_path)
+{
+    node_t *back = &world.nodes[1];
+    apr_pool_t *pool = bv_program_start();
+    atexit(kill_rest);
+    start_world();
+    ck_assert_uint_eq(ready_status(0), 200);
+    /* Forged internal headers have no effect. */
+    ck_assert_uint_eq(
+        ask("/a/1", "Caller-Service: bank\r\nTarget-Instance: i-9\r\n"), 200);
+    ck_assert_str_eq(back->caller, "front");
+    ck_assert_uint_eq(ask("/none/1", ""), 404);
+    ck_assert_uint_eq(status_of(world.nodes[0].ports[PORT_OUTBOUND], "GET",
+                                "/a/1",
+                                "Host: h.example\r\nRequest-Id: 7\r\n"
+                                "Request-Deadline: soon\r\n",
+                                NULL),
+                      400);
+    /* A refusal of the target is passed on as one; a foreign answer is not. */
+    g_atomic_int_set(&back->mode, MODE_REFUSE);
+    ck_assert_uint_eq(ask("/a/1", ""), 503);
+    g_atomic_int_set(&back->mode, MODE_FOREIGN);
+    ck_assert_uint_eq(ask("/a/1", "") / 100, 5);
+    g_atomic_int_set(&back->mode, MODE_SERVE);
+    wait_for("/a/1", 200);
+    /* Damaged words are refused and disturb nobody. */
+    ck_assert_uint_eq(beat(1, "asleep"), 400);
+    ck_assert_uint_eq(ask("/a/1", ""), 200);
+    /* A configuration is followed, also with its history forgotten. */
+    ck_assert_uint_eq(status_of(world.store_port, "POST", "/control", NULL,
+                                "{\"forget_history\": true}"),
+                      200);
+    put_config(5, "/b/");
+    wait_for("/b/1", 200);
+    ck_assert_uint_eq(ask("/a/1", ""), 404);
+    /* A target that leaves gets nothing more. */
+    ck_assert_uint_eq(beat(1, "draining"), 200);
+    gint before = g_atomic_int_get(&back->served);
+    ck_assert_uint_eq(ask("/b/1", ""), 503);
+    ck_assert_int_eq(g_atomic_int_get(&back->served), before);
+    ck_assert_uint_eq(status_of(back->ports[PORT_CONTROL], "POST",
+                                "/v1/instances/i-1/deregister", NULL, ""),
+                      200);
+    stop_world();
+    bv_program_stop(pool);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {{"path", test_path, 1}, {NULL}};
+    return support_run("platform_path", tests);
+}
