--- a/core/admission.c
+++ b/core/admission.c
@@ -78,14 +78,6 @@
     bv_limiter_set_slots(admission->limiter, options->slots);
 }
 
-static uint32_t
-limit_of(const bv_admission_t *admission)
-{
-    return admission->options.fixed_limit
-               ? admission->options.slots
-               : bv_limiter_limit(admission->limiter);
-}
-
 static bool
 is_critical(const bv_work_t *work)
 {
@@ -139,7 +131,7 @@
 static int64_t
 lane_wait_us(const bv_admission_t *admission, const lane_t *lane)
 {
-    uint32_t limit = limit_of(admission);
+    uint32_t limit = bv_admission_limit(admission);
     uint32_t length = bv_queue_length(lane->queue);
     return limit > 0 ? lane->latency_us * length / limit : 0;
 }
@@ -148,7 +140,7 @@
 static int64_t
 target_us(const bv_admission_t *admission, const lane_t *lane)
 {
-    uint32_t limit = limit_of(admission);
+    uint32_t limit = bv_admission_limit(admission);
     int64_t turn_us = limit > 0 ? lane->latency_us / limit : 0;
     int64_t least_us = admission->options.queue_target_us;
     return CLAMP(TARGET_TURNS * turn_us, least_us,
@@ -161,7 +153,8 @@
     bv_threshold_input_t input = {
         .target_us = target_us(admission, lane),
         .expected_us = lane_wait_us(admission, lane),
-        .idle = bv_admission_running(admission) < limit_of(admission),
+        .idle =
+            bv_admission_running(admission) < bv_admission_limit(admission),
         .critical = only_critical(admission, now_us),
     };
     bv_threshold_update(&lane->threshold, now_us, &input);
@@ -179,7 +172,7 @@
 may_start(const bv_admission_t *admission, int64_t now_us, bv_lane_t lane)
 {
     bv_lanes_limits_t limits = {
-        .limit = limit_of(admission),
+        .limit = bv_admission_limit(admission),
         .long_share_percent = admission->options.long_share_percent,
         .short_waiting = bv_queue_length(admission->lane[BV_LANE_SHORT].queue),
     };
@@ -497,5 +490,7 @@
 uint32_t
 bv_admission_limit(const bv_admission_t *admission)
 {
-    return limit_of(admission);
+    return admission->options.fixed_limit
+               ? admission->options.slots
+               : bv_limiter_limit(admission->limiter);
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -378,6 +378,52 @@
 }
 END_TEST
 
+/*
+ * Load whose latency varies with what the work itself calls: one in ten takes
+ * thirty times as long, and all become slower for a while. With a fixed limit
+ * the target keeps all of its slots; the adaptive one gives up some.
+ */
+START_TEST(test_fixed_limit)
+{
+    bv_admission_options_t options = plain;
+    options.fixed_limit = _i == 1;
+    bv_admission_t *admission = bv_admission_create(&options);
+    GRand *random = g_rand_new_with_seed(SEED);
+    uint32_t least = SLOTS;
+    int64_t now_us = MS;
+    for (uint64_t id = 1; id <= 20000; id++) {
+        bv_reason_t reason;
+        bv_work_t work = {
+            .id = id,
+            .priority = bv_priority(BV_CLASS_NORMAL, 64),
+            .deadline_us = now_us + FAR_US,
+        };
+        now_us += MS;
+        if (bv_admission_offer(admission, now_us, &work, &reason) !=
+            BV_WORK_RUN) {
+            bv_admission_remove(admission, id);
+            continue;
+        }
+        bool slow = id / 2000 % 2 == 1;
+        bool tail = g_rand_int_range(random, 0, 10) == 0;
+        bv_work_end_t end = {
+            .latency_us = (slow ? 40 : 10) * (tail ? 30 : 1) * MS,
+            .good = true,
+        };
+        bv_admission_finish(admission, now_us, id, &end);
+        least = MIN(least, bv_admission_limit(admission));
+    }
+    if (options.fixed_limit) {
+        ck_assert_uint_eq(least, SLOTS);
+    }
+    else {
+        ck_assert_uint_lt(least, SLOTS);
+    }
+    g_rand_free(random);
+    bv_admission_destroy(admission);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -387,6 +433,7 @@
         {"limit", test_limit, G_N_ELEMENTS(limit_cases)},
         {"late_work_is_dropped", test_late_work_is_dropped, 1},
         {"configured_later", test_configured_later, 1},
+        {"fixed_limit", test_fixed_limit, 2},
         {"random", test_random, 1},
         {"queue_against_naive", test_queue_against_naive, 1},
         {NULL}};
