--- a/core/router.c
+++ b/core/router.c
@@ -361,7 +361,8 @@
     picked->peer_port = chosen->member.peer_port;
     picked->incarnation = chosen->member.incarnation;
     picked->wait_us = chosen->wait_us;
-    picked->age_us = now_us - chosen->reported_us;
+    picked->age_us =
+        chosen->reported_us > 0 ? now_us - chosen->reported_us : 0;
     return true;
 }
 
--- a/include/berylvane/core/router.h
+++ b/include/berylvane/core/router.h
@@ -36,7 +36,7 @@
     char address[BV_ADDRESS_BYTES];
     uint16_t peer_port;
     uint64_t incarnation;
-    /* The wait that it last reported, and how long ago. */
+    /* The wait that it last reported, and how long ago; 0: it has not. */
     int64_t wait_us;
     int64_t age_us;
 } bv_picked_t;
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -74,8 +74,6 @@
     int64_t drain_limit_ms;
     /* Control endpoints of other nodes, to find members without the table. */
     json_t *seeds;
-    /* "NAME=VALUE" texts of the users' platform that bound what is above. */
-    json_t *bounds;
     /* Sections of the base document that a dialect's source does not hold. */
     json_t *policy;
 } bv_settings_t;
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -94,7 +94,7 @@
         .label = state->call->label,
         .attempts = bv_request_count(request),
         .left_us = state->deadline_us - node->now_us,
-        .took_us = node->now_us - state->call->arrived_us,
+        .took_us = MAX(0, node->now_us - state->call->arrived_us),
         .wait_us = picked.wait_us,
         .age_us = picked.age_us,
     };
--- a/node/calls.c
+++ b/node/calls.c
@@ -115,8 +115,9 @@
         .label = state->call->label,
         .attempts =
             state->request != NULL ? bv_request_count(state->request) : 0,
-        .left_us = state->deadline_us - node->now_us,
-        .took_us = node->now_us - state->call->arrived_us,
+        .left_us =
+            state->deadline_us > 0 ? state->deadline_us - node->now_us : 0,
+        .took_us = MAX(0, node->now_us - state->call->arrived_us),
     };
     bv_node_decided(node, &decision);
     export_span(node, state, reply);
--- a/node/settings.c
+++ b/node/settings.c
@@ -80,7 +80,6 @@
     NUMBER("drain_notice_ms", drain_notice_ms, false, 0, 60000),
     NUMBER("drain_limit_ms", drain_limit_ms, false, 0, 3600000),
     JSON("seeds", seeds),
-    JSON("bounds", bounds),
     JSON("policy", policy),
     {NULL}};
 
@@ -236,7 +235,6 @@
     settings->drain_limit_ms = 120000;
     bv_fields_read(root, fields, settings, path, "", findings);
     json_incref(settings->seeds);
-    json_incref(settings->bounds);
     json_incref(settings->policy);
     set_defaults(settings);
     read_endpoints(settings, path, findings);
