Give the store a copy of claims that wait to be written

Cause: the operations of a batch were released by the loop and by the store's thread at once; the thread sanitizer saw it in e2e_path, e2e_drain, e2e_once and e2e_outcome (nodes ended with its reports). Change: a copy for the store, the own reference released where it was taken.

--- a/node/claim_writes.c
+++ b/node/claim_writes.c
@@ -139,13 +139,14 @@
     batch_t *batch = g_new0(batch_t, 1);
     batch->node = node;
     batch->writes = writes->writes;
-    json_t *operations = json_incref(writes->operations);
+    /* A copy: the store's thread frees what it was given. */
+    json_t *operations = json_deep_copy(writes->operations);
     if (!bv_store_write(node->store, operations, false, on_answer, batch)) {
         g_free(batch);
         writes->due_us = node->now_us + RING_FULL_PAUSE_US;
         return;
     }
-    json_decref(operations);
+    json_decref(writes->operations);
     writes->sent_us = node->now_us;
     writes->in_flight++;
     bv_counter_add(BV_COUNT_CLAIM_BATCHES, 1);
