--- a/tests/e2e/fixture.c
+++ b/tests/e2e/fixture.c
@@ -60,10 +60,12 @@
 }
 
 void
-fixture_stop(fixture_t *fixture)
+fixture_stop(fixture_t *fixture, bool passed)
 {
     need(cluster_stop(fixture->cluster), "a node failed; see its log");
-    remove_directory(fixture->work_directory);
+    if (passed) {
+        remove_directory(fixture->work_directory);
+    }
     json_decref(fixture->deployment);
     g_free(fixture->work_directory);
     g_free(fixture);
@@ -137,6 +139,6 @@
     bv_program_start();
     *fixture = fixture_start(deployment);
     int status = support_run(suite, tests);
-    fixture_stop(*fixture);
+    fixture_stop(*fixture, status == 0);
     return status;
 }
--- a/tests/e2e/fixture.h
+++ b/tests/e2e/fixture.h
@@ -20,8 +20,11 @@
  */
 fixture_t *fixture_start(const char *deployment);
 
-/* Stops it; the program fails when a node did not exit 0. */
-void fixture_stop(fixture_t *fixture);
+/*
+ * Stops it; the program fails when a node did not exit 0. The folder is
+ * removed only after a test that passed.
+ */
+void fixture_stop(fixture_t *fixture, bool passed);
 
 /* Lines of all targets' records that hold `text`. */
 size_t fixture_executions(const fixture_t *fixture, const char *text);
