--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -110,7 +110,8 @@
     const bv_dialect_t *dialect;
     apr_pool_t *pool;
     GRand *random;
-    /* Thread of the loop, and what the loop waits for. */
+    /* Thread of the loop, set before any other starts, and what it waits for.
+     */
     pthread_t thread;
     int epoll_fd;
     int64_t link_check_us;
--- a/node/loop.c
+++ b/node/loop.c
@@ -54,7 +54,6 @@
 void
 bv_loop_create(bv_node_t *node)
 {
-    node->thread = pthread_self();
     node->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     add_source(node, bv_ring_fd(node->events), SOURCE_EVENTS);
     add_source(node, bv_link_fd(node->link), SOURCE_LINK);
--- a/node/node.c
+++ b/node/node.c
@@ -221,6 +221,7 @@
     node->pool = pool;
     node->incarnation = (uint64_t)bv_clock_wall_us();
     node->random = g_rand_new();
+    node->thread = pthread_self();
     node->now_us = bv_clock_now_us();
     node->started_us = node->now_us;
     node->events = bv_ring_create(pool, EVENT_RING_CAPACITY);
