--- a/common/ring.c
+++ b/common/ring.c
@@ -91,9 +91,6 @@
 bv_ring_clear(bv_ring_t *ring)
 {
     uint64_t count;
-    if (!g_atomic_int_get(&ring->signalled)) {
-        return;
-    }
     ssize_t got = read(ring->event_fd, &count, sizeof(count));
     (void)got;
     g_atomic_int_set(&ring->signalled, 0);
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -10,6 +10,8 @@
 #include "berylvane/core/config.h"
 #include "berylvane/core/config_spread.h"
 #include "berylvane/core/credit.h"
+#include "berylvane/core/gate.h"
+#include "berylvane/core/loads.h"
 #include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/outgoing.h"
@@ -150,11 +152,16 @@
     /* Pressure of the routes called from here, and below the served ones. */
     bv_pressures_t *called;
     bv_pressures_t *below;
+    /* Likewise the load of the busiest service; and what may start here. */
+    bv_loads_t *called_loads;
+    bv_loads_t *below_loads;
+    bv_gates_t *gates;
     bv_membership_t *membership;
     bv_local_target_t target;
     bv_journal_t *journal;
     bv_log_budget_t log_budget;
     int64_t left_out_due_us;
+    int64_t load_due_us;
 
     /* Caller side: calls by tag, and the call of each attempt. */
     GHashTable *calls;
--- a/node/decisions.c
+++ b/node/decisions.c
@@ -4,6 +4,7 @@
 
 /* How often it is told how many lines were left out. */
 #define LEFT_OUT_US (5 * BV_US_PER_S)
+#define LOAD_US BV_US_PER_S
 
 static bv_log_class_t
 class_of_outcome(const bv_decision_t *decision)
@@ -71,9 +72,31 @@
     }
 }
 
+/* What the target has to do, while it has anything to do. */
+static void
+report_load(const bv_node_t *node)
+{
+    const bv_admission_t *admission = node->admission;
+    double load =
+        bv_admission_load(admission, node->now_us, BV_CLASS_BATCH);
+    bv_log(BV_LOG_INFO, "load", "running",
+           BV_NUM(bv_admission_running(admission)), "limit",
+           BV_NUM(bv_admission_limit(admission)), "queued",
+           BV_NUM(bv_admission_queued(admission)), "threshold",
+           BV_NUM(bv_admission_threshold(admission)), "wait_us",
+           BV_NUM(bv_admission_wait_of_us(admission, 0, false)),
+           "load_percent", BV_NUM((gint64)(load * 100)), "gate_percent",
+           BV_NUM((gint64)(bv_gates_least(node->gates, node->now_us) * 100)),
+           "calls", BV_NUM(bv_calls_count(node)), NULL);
+}
+
 void
 bv_decisions_tick(bv_node_t *node)
 {
+    if (node->now_us >= node->load_due_us) {
+        node->load_due_us = node->now_us + LOAD_US;
+        report_load(node);
+    }
     if (node->now_us >= node->left_out_due_us) {
         node->left_out_due_us = node->now_us + LEFT_OUT_US;
         report_left_out(node);
--- a/standin/cluster/cluster.c
+++ b/standin/cluster/cluster.c
@@ -307,8 +307,12 @@
     process_signal(process, SIGCONT);
     process_signal(process, SIGTERM);
     if (process_wait(process, STOP_TIMEOUT_US) >= 0) {
+        if (process->status != 0) {
+            g_printerr("%s ended with %d\n", process->name, process->status);
+        }
         return process->status == 0;
     }
+    g_printerr("%s did not end in time\n", process->name);
     process_signal(process, SIGKILL);
     process_wait(process, KILL_TIMEOUT_US);
     return false;
--- a/tests/e2e/test_shed.c
+++ b/tests/e2e/test_shed.c
@@ -105,7 +105,7 @@
     char *path =
         g_build_filename(fixture->work_directory, "report.json", NULL);
     const json_t *load = json_object_get(fixture->deployment, "load");
-    set_slowness("{\"slow_percent\": 1000}");
+    set_slowness("{\"slow_percent\": 3000}");
     ck_assert_int_eq(cluster_load(fixture->cluster, load, label, path), 0);
     set_slowness("{\"slow_percent\": 100}");
     json_t *report = json_load_file(path, 0, NULL);
