Revert the gate at the entry; bound retries and drains by the platform's bounds

Cause: the template stated ratio, reserve a node and drain limit as numbers of today's deployments: 61 nodes with a reserve of 2 have 122 tries at once where 92 are allowed, and another GraceS would cut a drain short. Change: settings take the platform's list of bounds; its dialect makes the retry policy (ratio less 2 percent, slack less 2 tries, shared by the members that are present) and the drain limit of it. A load line a second (running, queued, threshold, wait) stays; gate, grace and free reroutes are taken back. Ruled out: keeping the gate.

--- a/core/admission.c
+++ b/core/admission.c
@@ -3,7 +3,6 @@
 #include "berylvane/common/invariant.h"
 #include "berylvane/core/lanes.h"
 #include "berylvane/core/limiter.h"
-#include "berylvane/core/offered.h"
 #include "berylvane/core/threshold.h"
 
 #define LATENCY_WEIGHT 8
@@ -15,11 +14,6 @@
 #define TARGET_TURNS 2
 #define TARGET_MOST_FACTOR 4
 #define NEVER_US (INT64_MIN / 2)
-/* Refusing a call of admitted work wastes what was done for it: such calls may
- * wait this many times as long. */
-#define INNER_TARGET_FACTOR 2
-/* Time in which a queue is to be worked off. */
-#define WORK_OFF_US 1000000
 
 typedef struct {
     bv_queue_t *queue;
@@ -40,7 +34,6 @@
     bv_lanes_t *lanes;
     lane_t lane[BV_LANE_END];
     GHashTable *running;
-    bv_offered_t offered;
     int64_t critical_refused_us;
     int64_t lesser_admitted_us;
 };
@@ -208,10 +201,6 @@
     if (lesser_held(admission, now_us)) {
         return true;
     }
-    if (work->inner && lane_wait_us(admission, lane) <
-                           target_us(admission, lane) * INNER_TARGET_FACTOR) {
-        return false;
-    }
     return below && !finds_slot(admission, now_us, lane);
 }
 
@@ -290,8 +279,6 @@
     int64_t typical_us =
         bv_lanes_typical_us(admission->lanes, now_us, work->kind);
     bv_queued_t queued = {*work, now_us, work->deadline_us - typical_us};
-    bv_offered_add(&admission->offered, now_us,
-                   bv_class_of(work->priority), typical_us);
     move_thresholds(admission, now_us);
     bv_threshold_offered(&lane->threshold, now_us, work->priority);
     *reason = refusal_of(admission, now_us, lane, &queued);
@@ -477,20 +464,6 @@
     return bv_threshold_level(&admission->lane[BV_LANE_SHORT].threshold);
 }
 
-double
-bv_admission_load(const bv_admission_t *admission, int64_t now_us,
-                  bv_class_t importance)
-{
-    const lane_t *lane = &admission->lane[BV_LANE_SHORT];
-    double offered =
-        bv_offered_share(&admission->offered, now_us, importance,
-                         bv_admission_limit(admission));
-    if (importance == BV_CLASS_CRITICAL) {
-        return offered;
-    }
-    return offered + (double)lane_wait_us(admission, lane) / WORK_OFF_US;
-}
-
 int64_t
 bv_admission_wait_of_us(const bv_admission_t *admission, uint32_t kind,
                         bool long_work)
--- a/core/budget.c
+++ b/core/budget.c
@@ -47,8 +47,8 @@
                 uint32_t ratio_percent)
 {
     int32_t *percent = percent_of(budgets, service);
-    *percent =
-        MIN(*percent + (int32_t)ratio_percent, budgets->reserve_percent);
+    int32_t most_percent = MAX(budgets->reserve_percent, TRY_PERCENT);
+    *percent = MIN(*percent + (int32_t)ratio_percent, most_percent);
 }
 
 bool
@@ -69,15 +69,29 @@
     *percent = MAX(*percent - TRY_PERCENT, -DEBT_TRIES * TRY_PERCENT);
 }
 
-void
-bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries)
+static void
+set_reserve(bv_budgets_t *budgets, int32_t reserve_percent)
 {
-    budgets->reserve_percent = (int32_t)tries * TRY_PERCENT;
+    budgets->reserve_percent = reserve_percent;
+    int32_t most_percent = MAX(reserve_percent, TRY_PERCENT);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, budgets->percents);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         int32_t *percent = value;
-        *percent = MIN(*percent, budgets->reserve_percent);
+        *percent = MIN(*percent, most_percent);
     }
 }
+
+void
+bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries)
+{
+    set_reserve(budgets, (int32_t)tries * TRY_PERCENT);
+}
+
+void
+bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
+                         uint32_t members)
+{
+    set_reserve(budgets, (int32_t)(tries * TRY_PERCENT / MAX(members, 1)));
+}
--- a/core/config.c
+++ b/core/config.c
@@ -33,6 +33,7 @@
     int64_t credits;
     int64_t ratio_percent;
     int64_t reserve;
+    int64_t shared_reserve;
     int64_t reroutes;
     int64_t queue_target_ms;
     int64_t queue_limit;
@@ -73,6 +74,7 @@
     NUMBER("credits", credits, 0, 16),
     NUMBER("ratio_percent", ratio_percent, 0, 100),
     NUMBER("reserve", reserve, 1, 1000),
+    NUMBER("shared_reserve", shared_reserve, 0, 100000),
     NUMBER("reroutes", reroutes, 0, 4),
     {NULL}};
 
@@ -242,6 +244,7 @@
     config->retry_credits = (uint32_t)numbers.credits;
     config->retry_ratio_percent = (uint32_t)numbers.ratio_percent;
     config->retry_reserve = (uint32_t)numbers.reserve;
+    config->retry_shared_reserve = (uint32_t)numbers.shared_reserve;
     config->reroutes_limit = (uint32_t)numbers.reroutes;
     config->queue_target_us = numbers.queue_target_ms * BV_US_PER_MS;
     config->queue_limit = (uint32_t)numbers.queue_limit;
--- a/core/request.c
+++ b/core/request.c
@@ -153,15 +153,12 @@
            count_in_state(request, BV_ATTEMPT_UNKNOWN) == 0;
 }
 
-/* A node refused before its target was reached: another one may have room. */
 static bool
 is_reroute(bv_reason_t reason)
 {
     return reason == BV_REASON_DRAINING ||
            reason == BV_REASON_WRONG_INCARNATION ||
-           reason == BV_REASON_STALE_SESSION ||
-           reason == BV_REASON_NO_TARGET || reason == BV_REASON_THRESHOLD ||
-           reason == BV_REASON_QUEUE_FULL;
+           reason == BV_REASON_STALE_SESSION || reason == BV_REASON_NO_TARGET;
 }
 
 /* A node refuses before its target is reached, but for these reasons. */
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -33,7 +33,6 @@
     X(NO_CONFIG, "no_config")                                                 \
     X(TARGET_REFUSED, "target_refused")                                       \
     X(WRONG_TARGET, "wrong_target")                                           \
-    X(ANSWER_FOREIGN, "answer_foreign")                                       \
-    X(OVERLOAD_BELOW, "overload_below")
+    X(ANSWER_FOREIGN, "answer_foreign")
 
 #endif
--- a/include/berylvane/core/admission.h
+++ b/include/berylvane/core/admission.h
@@ -7,8 +7,7 @@
  * admission - decides what the target of this node may run, and when
  *
  * Work is refused by priority once the queueing delay passes its target;
- * critical work only once nothing else is admitted; calls of work that was
- * admitted elsewhere only after a much longer delay. Work that can no longer
+ * critical work only once nothing else is admitted. Work that can no longer
  * be answered in time is dropped. Short and long work wait in lanes of their
  * own; the limit of work that runs at once adapts to measured latency.
  */
@@ -72,13 +71,6 @@
                                    uint32_t kind, bool long_work);
 uint16_t bv_admission_threshold(const bv_admission_t *admission);
 
-/*
- * How loaded the target is for work of a class, 1 being as much as it can do:
- * what arrives, and what it takes to work off the queue.
- */
-double bv_admission_load(const bv_admission_t *admission, int64_t now_us,
-                         bv_class_t importance);
-
 /* Estimated wait of new work of a kind. */
 int64_t bv_admission_wait_of_us(const bv_admission_t *admission, uint32_t kind,
                                 bool long_work);
--- a/include/berylvane/core/budget.h
+++ b/include/berylvane/core/budget.h
@@ -25,6 +25,14 @@
 /* Tries that a service starts with and keeps at most; the default is 10. */
 void bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries);
 
+/*
+ * Likewise, where `members` nodes have the tries together: each starts with
+ * its part. A node keeps at least one try that it has earned, since it can
+ * spend no less.
+ */
+void bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
+                              uint32_t members);
+
 /* Spends one further try; false when there is none. */
 bool bv_budgets_spend(bv_budgets_t *budgets, const char *service);
 
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -62,6 +62,8 @@
     uint32_t retry_ratio_percent;
     /* Further tries to a service that a node may make at once. */
     uint32_t retry_reserve;
+    /* Reserve of all nodes together; 0: each has one of its own. */
+    uint32_t retry_shared_reserve;
     uint32_t reroutes_limit;
     int64_t queue_target_us;
     uint32_t queue_limit;
--- a/include/berylvane/core/queue.h
+++ b/include/berylvane/core/queue.h
@@ -20,8 +20,6 @@
     /* The route's hint that this is long work. */
     bool long_work;
     int64_t deadline_us;
-    /* A call of work that was admitted before. */
-    bool inner;
 } bv_work_t;
 
 typedef struct {
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -40,8 +40,6 @@
     bool entry;
     /* Work further up the chain is a further try. */
     bool repeat;
-    /* Part of the calls of its kind that was admitted when it came. */
-    double gate_share;
     bool bypass;
     bool traced;
     /* Holds the key. */
@@ -72,7 +70,6 @@
     int64_t children_us;
     /* Largest pressure that those calls met. */
     bv_pressure_t below;
-    double below_load;
     bv_trace_t trace;
 };
 
@@ -107,7 +104,7 @@
                   bv_reason_t *reason);
 
 /* Whether the services below would admit the call; counts a refusal. */
-bool bv_picks_admit(bv_node_t *node, bv_call_state_t *state,
+bool bv_picks_admit(bv_node_t *node, const bv_call_state_t *state,
                     bv_reason_t *reason);
 
 /* An answer came for an attempt; or none will. */
--- a/include/berylvane/node/dialect.h
+++ b/include/berylvane/node/dialect.h
@@ -34,6 +34,9 @@
                               bv_findings_t *findings);
     /* Where configurations come from; NULL: the head row, see head.h. */
     const bv_config_source_t *configs;
+    /* Puts into settings that were read again what they follow from; may be
+     * NULL. */
+    void (*adjust)(void *context);
     void *context;
 } bv_dialect_t;
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -10,8 +10,6 @@
 #include "berylvane/core/config.h"
 #include "berylvane/core/config_spread.h"
 #include "berylvane/core/credit.h"
-#include "berylvane/core/gate.h"
-#include "berylvane/core/loads.h"
 #include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/outgoing.h"
@@ -152,10 +150,6 @@
     /* Pressure of the routes called from here, and below the served ones. */
     bv_pressures_t *called;
     bv_pressures_t *below;
-    /* Likewise the load of the busiest service; and what may start here. */
-    bv_loads_t *called_loads;
-    bv_loads_t *below_loads;
-    bv_gates_t *gates;
     bv_membership_t *membership;
     bv_local_target_t target;
     bv_journal_t *journal;
@@ -264,6 +258,8 @@
 
 /* Puts the limits of the configuration and the target's slots in force. */
 void bv_members_configure_admission(bv_node_t *node);
+/* Gives this node its part of the reserve for retries. */
+void bv_members_share_reserve(bv_node_t *node);
 void bv_members_gossip(bv_node_t *node, void *packet);
 void bv_members_tick(bv_node_t *node);
 
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -76,6 +76,8 @@
     json_t *seeds;
     /* Sections of the base document that a dialect's source does not hold. */
     json_t *policy;
+    /* Bounds of the platform, as its dialect reads them. */
+    json_t *bounds;
 } bv_settings_t;
 
 /* Reads a settings file; NULL when there are findings. */
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -10,11 +10,9 @@
  * Encoded as a MessagePack array. Every length is bounded before use; a
  * message that does not decode is counted (peer_bad) and dropped.
  */
-#define BV_PEER_VERSION 3
+#define BV_PEER_VERSION 2
 #define BV_PEER_TEXT_LIMIT 2048
 #define BV_PEER_HEADERS_LIMIT 16384
-/* A load is told up to this many percent. */
-#define BV_PEER_LOAD_LIMIT 10000
 #define BV_PEER_BODY_LIMIT (8 * 1024 * 1024)
 
 #define BV_PEER_ERROR (bv_peer_error_quark())
@@ -46,7 +44,7 @@
  * One message. Which fields count depends on the kind:
  * DISPATCH     request..remaining_us, method, host, path, headers, key,
  * customer, label, span, body ANSWER       attempt, outcome, reason, status,
- * headers, credit, threshold, wait_us, load_percent, digest, body OPEN         session FENCE
+ * headers, credit, threshold, wait_us, digest, body OPEN         session FENCE
  * attempt, session FENCED       attempt, served CANCEL       attempt
  * CONFIG_ASK   generation; CONFIG_BODY generation, digest, body
  * KEY_ASK      attempt (echoed), key, generation: the attempt in its row;
@@ -71,8 +69,6 @@
     bool bypass;
     /* It is a further try, or was called by work that is one. */
     bool repeat;
-    /* A call of work that was admitted before. */
-    bool inner;
     uint32_t credit;
     /* Time left until the deadline; no clocks are compared. */
     int64_t remaining_us;
@@ -81,9 +77,6 @@
     uint16_t status;
     uint16_t threshold;
     int64_t wait_us;
-    /* Load of the busiest service at or below the sender; 100 is all that it
-     * can do. */
-    uint32_t load_percent;
     bv_served_state_t served;
     uint64_t generation;
     uint64_t digest;
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -53,7 +53,6 @@
     message->long_work = state->route->long_work;
     message->idempotent = state->route->idempotent;
     message->bypass = state->bypass;
-    message->inner = !state->call->outside;
     message->credit = attempt->loan.amount;
     message->repeat = state->repeat || kind == BV_RETRY || kind == BV_HEDGE;
     return message;
--- a/node/configs.c
+++ b/node/configs.c
@@ -55,7 +55,7 @@
                               version->digest);
     bv_members_configure_admission(node);
     bv_node_limit_callers(node);
-    bv_budgets_set_reserve(node->budgets, config->retry_reserve);
+    bv_members_share_reserve(node);
     bv_counter_add(BV_COUNT_CONFIG_ADOPTED, 1);
     bv_decision_t decision = {
         .kind = BV_DECISION_ADOPTED,
--- a/node/decisions.c
+++ b/node/decisions.c
@@ -72,22 +72,18 @@
     }
 }
 
-/* What the target has to do, while it has anything to do. */
+/* What the target has to do, and what this node waits for. */
 static void
 report_load(const bv_node_t *node)
 {
     const bv_admission_t *admission = node->admission;
-    double load =
-        bv_admission_load(admission, node->now_us, BV_CLASS_BATCH);
     bv_log(BV_LOG_INFO, "load", "running",
            BV_NUM(bv_admission_running(admission)), "limit",
            BV_NUM(bv_admission_limit(admission)), "queued",
            BV_NUM(bv_admission_queued(admission)), "threshold",
            BV_NUM(bv_admission_threshold(admission)), "wait_us",
-           BV_NUM(bv_admission_wait_of_us(admission, 0, false)),
-           "load_percent", BV_NUM((gint64)(load * 100)), "gate_percent",
-           BV_NUM((gint64)(bv_gates_least(node->gates, node->now_us) * 100)),
-           "calls", BV_NUM(bv_calls_count(node)), NULL);
+           BV_NUM(bv_admission_wait_of_us(admission, 0, false)), "calls",
+           BV_NUM(bv_calls_count(node)), NULL);
 }
 
 void
--- a/node/members.c
+++ b/node/members.c
@@ -64,11 +64,28 @@
                    packet);
 }
 
+void
+bv_members_share_reserve(bv_node_t *node)
+{
+    const bv_config_t *config = node->config;
+    if (config == NULL) {
+        return;
+    }
+    if (config->retry_shared_reserve == 0) {
+        bv_budgets_set_reserve(node->budgets, config->retry_reserve);
+        return;
+    }
+    /* The node itself is not among the present members. */
+    bv_budgets_share_reserve(node->budgets, config->retry_shared_reserve,
+                             bv_membership_present(node->membership) + 1);
+}
+
 static void
 member_changed(void *context, const bv_member_t *member)
 {
     bv_node_t *node = context;
     bv_router_update(node->router, member);
+    bv_members_share_reserve(node);
     bv_calls_member_changed(node, member);
     bv_decision_t decision = {
         .kind = BV_DECISION_MEMBER,
--- a/node/node.c
+++ b/node/node.c
@@ -79,9 +79,6 @@
     node->budgets = bv_budgets_create();
     node->called = bv_pressures_create();
     node->below = bv_pressures_create();
-    node->called_loads = bv_loads_create();
-    node->below_loads = bv_loads_create();
-    node->gates = bv_gates_create();
     node->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     node->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -287,9 +284,6 @@
     bv_budgets_destroy(node->budgets);
     bv_pressures_destroy(node->called);
     bv_pressures_destroy(node->below);
-    bv_loads_destroy(node->called_loads);
-    bv_loads_destroy(node->below_loads);
-    bv_gates_destroy(node->gates);
     bv_admission_destroy(node->admission);
     bv_keyed_destroy(node);
     bv_sessions_destroy(node->sessions);
--- a/node/parents.c
+++ b/node/parents.c
@@ -62,7 +62,4 @@
     bv_pressure_t pressure =
         bv_pressures_get(node->called, node->now_us, kind);
     take_pressure(served, &pressure);
-    double load = bv_loads_get(node->called_loads, node->now_us, kind,
-                               bv_class_of(served->dispatch->priority));
-    served->below_load = MAX(served->below_load, load);
 }
--- a/node/picks.c
+++ b/node/picks.c
@@ -1,8 +1,6 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/node/call.h"
 
-#define PERCENT 100
-
 /* A further try is no help while the route is over its threshold. */
 static bool
 is_overloaded(const bv_node_t *node, const bv_call_state_t *state)
@@ -92,44 +90,15 @@
     return true;
 }
 
-/* A call of admitted work is refused only where it could not be in time. */
-static bool
-admits_inner(const bv_node_t *node, const bv_call_state_t *state,
-             bv_reason_t *reason)
-{
-    bv_pressure_t pressure =
-        bv_pressures_get(node->called, node->now_us, state->kind);
-    *reason = BV_REASON_EXPIRED;
-    return state->deadline_us - node->now_us > pressure.wait_us;
-}
-
-static bool
-admits_new(const bv_node_t *node, const bv_call_state_t *state,
-           bv_reason_t *reason)
-{
-    if (!bv_gate_admits(state->gate_share, state->priority)) {
-        *reason = BV_REASON_OVERLOAD_BELOW;
-        return false;
-    }
-    return bv_pressures_admit(node->called, node->now_us, state->kind,
-                              state->priority,
-                              state->deadline_us - node->now_us, node->random,
-                              reason);
-}
-
 bool
-bv_picks_admit(bv_node_t *node, bv_call_state_t *state,
+bv_picks_admit(bv_node_t *node, const bv_call_state_t *state,
                bv_reason_t *reason)
 {
     bv_mode_t mode = state->route->mode;
-    if (mode == BV_MODE_BYPASS) {
-        return true;
-    }
-    state->gate_share =
-        bv_gates_share(node->gates, node->now_us, state->kind);
-    bool admitted = state->call->outside ? admits_new(node, state, reason)
-                                         : admits_inner(node, state, reason);
-    if (admitted) {
+    if (mode == BV_MODE_BYPASS ||
+        bv_pressures_admit(node->called, node->now_us, state->kind,
+                           state->priority, state->deadline_us - node->now_us,
+                           node->random, reason)) {
         return true;
     }
     if (mode == BV_MODE_OBSERVE) {
@@ -193,14 +162,6 @@
     }
     bv_pressure_t report = {message->threshold, message->wait_us};
     bv_pressures_report(node->called, node->now_us, state->kind, &report);
-    bv_loads_report(node->called_loads, node->now_us, state->kind,
-                    bv_class_of(state->priority),
-                    (double)message->load_percent / PERCENT);
-    if (state->call->outside && state->gate_share > 0) {
-        bv_gate_report_t load = {(double)message->load_percent / PERCENT,
-                                 state->gate_share};
-        bv_gates_report(node->gates, node->now_us, state->kind, &load);
-    }
     g_hash_table_remove(node->attempts, &message->attempt);
 }
 
--- a/node/serve.c
+++ b/node/serve.c
@@ -46,17 +46,6 @@
     return bv_pressure_pass_on(&own, &below);
 }
 
-/* How loaded this target and what such work calls are, in percent. */
-static uint32_t
-load_percent(const bv_node_t *node, uint32_t kind, uint16_t priority)
-{
-    bv_class_t importance = bv_class_of(priority);
-    double own = bv_admission_load(node->admission, node->now_us, importance);
-    double below =
-        bv_loads_get(node->below_loads, node->now_us, kind, importance);
-    return (uint32_t)MIN(MAX(own, below) * 100, BV_PEER_LOAD_LIMIT);
-}
-
 static bv_peer_message_t *
 new_answer(const bv_node_t *node, const bv_peer_message_t *dispatch,
            bv_outcome_t outcome, bv_reason_t reason)
@@ -70,7 +59,6 @@
     answer->status = outcome == BV_OUTCOME_NOT_RUN ? 503 : 504;
     answer->threshold = pressure.threshold;
     answer->wait_us = pressure.wait_us;
-    answer->load_percent = load_percent(node, kind, dispatch->priority);
     return answer;
 }
 
@@ -334,7 +322,6 @@
         .priority = served->dispatch->priority,
         .long_work = served->dispatch->long_work,
         .deadline_us = served->deadline_us,
-        .inner = served->dispatch->inner,
     };
     bv_reason_t reason;
     bv_work_verdict_t verdict =
@@ -421,11 +408,6 @@
         bv_pressures_report(node->below, node->now_us, served->kind,
                             &served->below);
     }
-    /* Work that ended before its calls tells nothing of them. */
-    if (served->below_load > 0) {
-        bv_loads_report(node->below_loads, node->now_us, served->kind,
-                        bv_class_of(dispatch->priority), served->below_load);
-    }
     bv_sessions_finish(node->sessions, node->now_us, &served->key,
                        result->outcome != BV_OUTCOME_NOT_RUN);
     bv_peer_message_t *answer =
--- a/node/settings.c
+++ b/node/settings.c
@@ -81,6 +81,7 @@
     NUMBER("drain_limit_ms", drain_limit_ms, false, 0, 3600000),
     JSON("seeds", seeds),
     JSON("policy", policy),
+    JSON("bounds", bounds),
     {NULL}};
 
 static void
@@ -236,6 +237,7 @@
     bv_fields_read(root, fields, settings, path, "", findings);
     json_incref(settings->seeds);
     json_incref(settings->policy);
+    json_incref(settings->bounds);
     set_defaults(settings);
     read_endpoints(settings, path, findings);
     check(settings, path, findings);
--- a/peer/message.c
+++ b/peer/message.c
@@ -110,7 +110,6 @@
     pack_boolean(packer, message->idempotent);
     pack_boolean(packer, message->bypass);
     pack_boolean(packer, message->repeat);
-    pack_boolean(packer, message->inner);
     msgpack_pack_uint64(packer, message->credit);
     msgpack_pack_uint64(packer, (uint64_t)MAX(message->remaining_us, 0));
     bv_pack_text(packer, message->method);
@@ -131,15 +130,14 @@
     msgpack_pack_uint64(packer, message->status);
     msgpack_pack_uint64(packer, message->threshold);
     msgpack_pack_uint64(packer, (uint64_t)MAX(message->wait_us, 0));
-    msgpack_pack_uint64(packer, message->load_percent);
     msgpack_pack_uint64(packer, message->served);
     msgpack_pack_uint64(packer, message->generation);
     msgpack_pack_uint64(packer, message->digest);
 }
 
 #define HEAD_FIELDS 7
-#define CALL_FIELDS 17
-#define ANSWER_FIELDS 9
+#define CALL_FIELDS 16
+#define ANSWER_FIELDS 8
 #define MESSAGE_FIELDS (HEAD_FIELDS + CALL_FIELDS + ANSWER_FIELDS + 1)
 
 GBytes *
@@ -188,7 +186,6 @@
     message->idempotent = bv_unpack_boolean(unpack);
     message->bypass = bv_unpack_boolean(unpack);
     message->repeat = bv_unpack_boolean(unpack);
-    message->inner = bv_unpack_boolean(unpack);
     message->credit = (uint32_t)bv_unpack_number(unpack, 255);
     message->remaining_us =
         (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
@@ -211,8 +208,6 @@
     message->status = (uint16_t)bv_unpack_number(unpack, 999);
     message->threshold = (uint16_t)bv_unpack_number(unpack, BV_PRIORITY_LIMIT);
     message->wait_us = (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
-    message->load_percent =
-        (uint32_t)bv_unpack_number(unpack, BV_PEER_LOAD_LIMIT);
     message->served =
         (bv_served_state_t)bv_unpack_number(unpack, BV_SERVED_FORGOTTEN);
     message->generation = bv_unpack_number(unpack, UINT64_MAX);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -124,16 +124,16 @@
     bv_reason_t reason;
     bv_work_end_t end = {.latency_us = 20 * MS, .good = true};
     for (uint64_t id = 1; id <= 64; id++) {
-        bv_work_t work = {id, 1, 200, false, FAR_US, false};
+        bv_work_t work = {id, 1, 200, false, FAR_US};
         ck_assert_int_eq(bv_admission_offer(admission, 0, &work, &reason),
                          BV_WORK_RUN);
         bv_admission_finish(admission, 0, id, &end);
     }
-    bv_work_t late = {100, 1, 200, false, 10 * MS, false};
+    bv_work_t late = {100, 1, 200, false, 10 * MS};
     ck_assert_int_eq(bv_admission_offer(admission, 0, &late, &reason),
                      BV_WORK_REFUSED);
     ck_assert_int_eq(reason, BV_REASON_EXPIRED);
-    bv_work_t timely = {101, 1, 200, false, 30 * MS, false};
+    bv_work_t timely = {101, 1, 200, false, 30 * MS};
     ck_assert_int_eq(bv_admission_offer(admission, 0, &timely, &reason),
                      BV_WORK_RUN);
     bv_admission_destroy(admission);
@@ -151,7 +151,7 @@
         bv_admission_next(admission, now_us, &id, &reason);
     }
     bv_admission_configure(admission, &plain);
-    bv_work_t work = {1, 1, 0, false, FAR_US, false};
+    bv_work_t work = {1, 1, 0, false, FAR_US};
     ck_assert_int_eq(bv_admission_offer(admission, 100 * MS, &work, &reason),
                      BV_WORK_RUN);
     ck_assert_uint_eq(bv_admission_threshold(admission), 0);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -254,6 +254,53 @@
 }
 END_TEST
 
+/* Bounds that the settings state. */
+typedef struct {
+    const char *bounds;
+    json_int_t ratio_percent;
+    json_int_t shared_reserve;
+    int64_t drain_limit_ms;
+} bound_case_t;
+
+static const bound_case_t bound_cases[] = {
+    {"[]", 14, 0, 9000},
+    {"[\"RetryBudgetRatio=0.2\", \"BudgetSlack=50\", \"GraceS=6\"]", 18, 48,
+     5150},
+    {"[\"BudgetSlackX=9\", \"BudgetSlack=x\", 4, \"GraceS=0.5\"]", 14, 0, 0},
+    {"[\"BudgetSlack=1\", \"RetryBudgetRatio=0.01\"]", 0, 1, 9000},
+};
+
+START_TEST(test_bounds)
+{
+    const bound_case_t *row = &bound_cases[_i];
+    bv_settings_t bounded = {
+        .bounds = json_loads(row->bounds, 0, NULL),
+        .policy = json_loads("{\"retry\": {\"ratio_percent\": 14}}", 0, NULL),
+        .drain_limit_ms = 9000,
+    };
+    const bv_dialect_t *dialect = bv_platform_dialect(&bounded);
+    bv_findings_t *findings = bv_findings_create();
+    json_t *value =
+        json_loads("{\"Version\": \"r1\", \"VirtualHosts\": []}", 0, NULL);
+    json_t *bundle =
+        dialect->configs->translate(dialect->context, value, findings);
+    ck_assert_ptr_nonnull(bundle);
+    json_t *retry = json_object_get(json_object_get(bundle, "base"), "retry");
+    ck_assert_int_eq(
+        json_integer_value(json_object_get(retry, "ratio_percent")),
+        row->ratio_percent);
+    ck_assert_int_eq(
+        json_integer_value(json_object_get(retry, "shared_reserve")),
+        row->shared_reserve);
+    ck_assert_int_eq(bounded.drain_limit_ms, row->drain_limit_ms);
+    json_decref(bundle);
+    json_decref(value);
+    bv_findings_destroy(findings);
+    json_decref(bounded.bounds);
+    json_decref(bounded.policy);
+}
+END_TEST
+
 /* Rows of the table. */
 START_TEST(test_transaction)
 {
@@ -321,6 +368,7 @@
         {"work", test_work, 1},
         {"announcement", test_announcement, G_N_ELEMENTS(announcement_cases)},
         {"configuration", test_configuration, G_N_ELEMENTS(config_cases)},
+        {"bounds", test_bounds, G_N_ELEMENTS(bound_cases)},
         {"transaction", test_transaction, 1},
         {"decode", test_decode, 1},
         {NULL}};
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -262,6 +262,35 @@
 }
 END_TEST
 
+/* Nodes that share a reserve spend no more than it together at once. */
+typedef struct {
+    uint32_t tries;
+    uint32_t members;
+    uint32_t each;
+} shared_case_t;
+
+static const shared_case_t shared_cases[] = {
+    {48, 24, 2}, {90, 61, 1}, {48, 1600, 0}, {48, 0, 48}};
+
+START_TEST(test_shared_reserve)
+{
+    const shared_case_t *row = &shared_cases[_i];
+    bv_budgets_t *budgets = bv_budgets_create();
+    uint32_t spent = 0;
+    bv_budgets_share_reserve(budgets, row->tries, row->members);
+    while (bv_budgets_spend(budgets, "stock")) {
+        spent++;
+    }
+    ck_assert_uint_eq(spent, row->each);
+    /* What is earned can be spent even where the part is below one try. */
+    for (int i = 0; i < 10; i++) {
+        bv_budgets_earn(budgets, "stock", 10);
+    }
+    ck_assert(bv_budgets_spend(budgets, "stock"));
+    bv_budgets_destroy(budgets);
+}
+END_TEST
+
 /* A random run against the naive twin. */
 typedef struct {
     GRand *random;
@@ -388,6 +417,7 @@
         {"cold_start", test_cold_start, 1},
         {"budget", test_budget, G_N_ELEMENTS(budget_cases)},
         {"charge", test_charge, G_N_ELEMENTS(charge_cases)},
+        {"shared_reserve", test_shared_reserve, G_N_ELEMENTS(shared_cases)},
         {"random", test_random, 1},
         {NULL}};
     return support_run("router", tests);
