Tell why a call was not tried again; keep the last try of a budget for critical work

Change: decision not_retried; normal work leaves one try in the budget. The lower bound of my new test is 1000 / 6: a try is due each 6 calls at 18%.

--- a/core/budget.c
+++ b/core/budget.c
@@ -2,6 +2,10 @@
 
 #define RESERVE_TRIES 10
 #define TRY_PERCENT 100
+/* Tries that only critical work may spend; kept besides by a full budget. */
+#define CRITICAL_TRIES 1
+/* What a budget can hold at least, so that other work finds a try. */
+#define MOST_PERCENT_LEAST ((CRITICAL_TRIES + 1) * TRY_PERCENT)
 /* Repeats from further up may spend this many tries ahead. */
 #define DEBT_TRIES 100
 
@@ -47,15 +51,17 @@
                 uint32_t ratio_percent)
 {
     int32_t *percent = percent_of(budgets, service);
-    int32_t most_percent = MAX(budgets->reserve_percent, TRY_PERCENT);
+    int32_t most_percent = MAX(budgets->reserve_percent, MOST_PERCENT_LEAST);
     *percent = MIN(*percent + (int32_t)ratio_percent, most_percent);
 }
 
 bool
-bv_budgets_spend(bv_budgets_t *budgets, const char *service)
+bv_budgets_spend(bv_budgets_t *budgets, const char *service,
+                 bv_class_t importance)
 {
     int32_t *percent = percent_of(budgets, service);
-    if (*percent < TRY_PERCENT) {
+    int32_t kept = importance == BV_CLASS_CRITICAL ? 0 : CRITICAL_TRIES;
+    if (*percent < (kept + 1) * TRY_PERCENT) {
         return false;
     }
     *percent -= TRY_PERCENT;
@@ -73,7 +79,7 @@
 set_reserve(bv_budgets_t *budgets, int32_t reserve_percent)
 {
     budgets->reserve_percent = reserve_percent;
-    int32_t most_percent = MAX(reserve_percent, TRY_PERCENT);
+    int32_t most_percent = MAX(reserve_percent, MOST_PERCENT_LEAST);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, budgets->percents);
--- a/core/types.c
+++ b/core/types.c
@@ -83,6 +83,12 @@
     return (uint16_t)(importance * BV_LEVELS + level % BV_LEVELS);
 }
 
+bv_class_t
+bv_class_of(uint16_t priority)
+{
+    return (bv_class_t)(priority / BV_LEVELS);
+}
+
 uint8_t
 bv_customer_level(const char *customer)
 {
--- a/include/berylvane/core/budget.h
+++ b/include/berylvane/core/budget.h
@@ -33,7 +33,11 @@
 void bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
                               uint32_t members);
 
-/* Spends one further try; false when there is none. */
-bool bv_budgets_spend(bv_budgets_t *budgets, const char *service);
+/*
+ * Spends one further try; false when there is none for this class: the last
+ * one is kept for critical work.
+ */
+bool bv_budgets_spend(bv_budgets_t *budgets, const char *service,
+                      bv_class_t importance);
 
 #endif
--- a/include/berylvane/core/types.h
+++ b/include/berylvane/core/types.h
@@ -70,6 +70,9 @@
 /* Priority from class and level: 0 is the least important. */
 uint16_t bv_priority(bv_class_t importance, uint8_t level);
 
+/* Class that a priority belongs to. */
+bv_class_t bv_class_of(uint16_t priority);
+
 /* Level of a customer in 0 to BV_LEVELS - 1, the same on every node. */
 uint8_t bv_customer_level(const char *customer);
 
--- a/include/berylvane/node/journal.h
+++ b/include/berylvane/node/journal.h
@@ -18,6 +18,8 @@
     BV_DECISION_RETRIED,
     BV_DECISION_REROUTED,
     BV_DECISION_HEDGED,
+    /* A further try would have been made, and was not paid for. */
+    BV_DECISION_NOT_RETRIED,
     BV_DECISION_FENCED,
     BV_DECISION_CANCELLED,
     BV_DECISION_ANSWERED,
--- a/node/journal.c
+++ b/node/journal.c
@@ -20,12 +20,19 @@
 };
 
 static const char *const kind_names[BV_DECISION_END] = {
-    [BV_DECISION_ROUTED] = "routed",     [BV_DECISION_RETRIED] = "retried",
-    [BV_DECISION_REROUTED] = "rerouted", [BV_DECISION_HEDGED] = "hedged",
-    [BV_DECISION_FENCED] = "fenced",     [BV_DECISION_CANCELLED] = "cancelled",
-    [BV_DECISION_ANSWERED] = "answered", [BV_DECISION_ADMITTED] = "admitted",
-    [BV_DECISION_REFUSED] = "refused",   [BV_DECISION_SERVED] = "served",
-    [BV_DECISION_MEMBER] = "member",     [BV_DECISION_ADOPTED] = "adopted",
+    [BV_DECISION_ROUTED] = "routed",
+    [BV_DECISION_RETRIED] = "retried",
+    [BV_DECISION_NOT_RETRIED] = "not_retried",
+    [BV_DECISION_REROUTED] = "rerouted",
+    [BV_DECISION_HEDGED] = "hedged",
+    [BV_DECISION_FENCED] = "fenced",
+    [BV_DECISION_CANCELLED] = "cancelled",
+    [BV_DECISION_ANSWERED] = "answered",
+    [BV_DECISION_ADMITTED] = "admitted",
+    [BV_DECISION_REFUSED] = "refused",
+    [BV_DECISION_SERVED] = "served",
+    [BV_DECISION_MEMBER] = "member",
+    [BV_DECISION_ADOPTED] = "adopted",
     [BV_DECISION_REJECTED] = "rejected",
 };
 
--- a/node/picks.c
+++ b/node/picks.c
@@ -35,7 +35,8 @@
         *reason = BV_REASON_THRESHOLD;
         return false;
     }
-    if (!bv_budgets_spend(node->budgets, state->service)) {
+    if (!bv_budgets_spend(node->budgets, state->service,
+                          bv_class_of(state->priority))) {
         *reason = BV_REASON_NO_BUDGET;
         return false;
     }
@@ -61,6 +62,23 @@
     return true;
 }
 
+static void
+log_not_retried(bv_node_t *node, const bv_call_state_t *state,
+                bv_reason_t reason)
+{
+    bv_decision_t decision = {
+        .kind = BV_DECISION_NOT_RETRIED,
+        .request = state->id,
+        .subject = state->service,
+        .reason = reason,
+        .label = state->call->label,
+        .attempts = bv_request_count(state->request),
+        .left_us = state->deadline_us - node->now_us,
+        .took_us = MAX(0, node->now_us - state->call->arrived_us),
+    };
+    bv_node_decided(node, &decision);
+}
+
 bool
 bv_picks_pay(bv_node_t *node, const bv_call_state_t *state, bv_try_t kind,
              bv_reason_t *reason)
@@ -84,6 +102,7 @@
     }
     if (!is_paid(node, state, kind, reason)) {
         bv_node_count_reason(*reason);
+        log_not_retried(node, state, *reason);
         return false;
     }
     bv_counter_add(kind == BV_HEDGE ? BV_COUNT_HEDGES : BV_COUNT_RETRIES, 1);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -218,7 +218,8 @@
         if (i < row->firsts) {
             bv_budgets_earn(budgets, "stock", row->percent);
         }
-        spent += i < row->wanted && bv_budgets_spend(budgets, "stock");
+        spent += i < row->wanted &&
+                 bv_budgets_spend(budgets, "stock", BV_CLASS_CRITICAL);
     }
     ck_assert_uint_le(spent, row->most);
     ck_assert_uint_ge(spent, row->most - 10);
@@ -254,7 +255,7 @@
             bv_budgets_charge(budgets, "stock");
             charged++;
         }
-        spent += bv_budgets_spend(budgets, "stock");
+        spent += bv_budgets_spend(budgets, "stock", BV_CLASS_CRITICAL);
     }
     ck_assert_uint_le(spent, row->most);
     ck_assert_uint_ge(spent + 3, row->most);
@@ -278,7 +279,7 @@
     bv_budgets_t *budgets = bv_budgets_create();
     uint32_t spent = 0;
     bv_budgets_share_reserve(budgets, row->tries, row->members);
-    while (bv_budgets_spend(budgets, "stock")) {
+    while (bv_budgets_spend(budgets, "stock", BV_CLASS_CRITICAL)) {
         spent++;
     }
     ck_assert_uint_eq(spent, row->each);
@@ -286,7 +287,40 @@
     for (int i = 0; i < 10; i++) {
         bv_budgets_earn(budgets, "stock", 10);
     }
-    ck_assert(bv_budgets_spend(budgets, "stock"));
+    ck_assert(bv_budgets_spend(budgets, "stock", BV_CLASS_CRITICAL));
+    bv_budgets_destroy(budgets);
+}
+END_TEST
+
+/*
+ * A service that refuses half of its calls: both classes ask for more tries
+ * than there are, and critical work gets nearly all of them.
+ */
+typedef struct {
+    bool critical;
+    uint32_t least_percent;
+    uint32_t most_percent;
+} turn_case_t;
+
+static const turn_case_t turn_cases[] = {{true, 0, 1}, {false, 16, 18}};
+
+START_TEST(test_critical_first)
+{
+    const turn_case_t *row = &turn_cases[_i];
+    bv_budgets_t *budgets = bv_budgets_create();
+    uint32_t normal = 0;
+    uint32_t critical = 0;
+    bv_budgets_set_reserve(budgets, 2);
+    for (int i = 0; i < 1000; i++) {
+        bv_budgets_earn(budgets, "stock", 18);
+        normal += bv_budgets_spend(budgets, "stock", BV_CLASS_NORMAL);
+        critical += row->critical &&
+                    bv_budgets_spend(budgets, "stock", BV_CLASS_CRITICAL);
+    }
+    ck_assert_uint_ge(normal, row->least_percent * 10);
+    ck_assert_uint_le(normal, row->most_percent * 10);
+    ck_assert_uint_ge(normal + critical, 167);
+    ck_assert_uint_le(normal + critical, 182);
     bv_budgets_destroy(budgets);
 }
 END_TEST
@@ -417,6 +451,7 @@
         {"cold_start", test_cold_start, 1},
         {"budget", test_budget, G_N_ELEMENTS(budget_cases)},
         {"charge", test_charge, G_N_ELEMENTS(charge_cases)},
+        {"critical_first", test_critical_first, G_N_ELEMENTS(turn_cases)},
         {"shared_reserve", test_shared_reserve, G_N_ELEMENTS(shared_cases)},
         {"random", test_random, 1},
         {NULL}};
