Let earned retries be spent within the window that the platform counts

Cause: a node's budget held two tries at most, so that what thousands of good calls had earned was gone when five targets began to refuse half of theirs: 946 retries in 8.5 s, 2029 denied for the budget. Earned is counted over less than a window, spent over more. Ruled out: a larger bucket, which has no bound in a sliding window.

--- a/core/budget.c
+++ b/core/budget.c
@@ -1,17 +1,29 @@
 #include "berylvane/core/budget.h"
 
-#define RESERVE_TRIES 10
+#include <string.h>
+
 #define TRY_PERCENT 100
-/* Tries that only critical work may spend; kept besides by a full budget. */
-#define CRITICAL_TRIES 1
-/* What a budget can hold at least, so that other work finds a try. */
-#define MOST_PERCENT_LEAST ((CRITICAL_TRIES + 1) * TRY_PERCENT)
-/* Repeats from further up may spend this many tries ahead. */
-#define DEBT_TRIES 100
+#define RESERVE_TRIES 10
+#define WINDOW_US 10000000
+/* A window is counted in parts, the present one being incomplete. */
+#define PARTS 10
+/* Part of the tries that work which is not critical may use. */
+#define NORMAL_SHARE_PERCENT 67
+
+typedef struct {
+    int64_t number;
+    int64_t earned_percent;
+    uint32_t spent;
+} part_t;
+
+typedef struct {
+    part_t parts[PARTS + 1];
+} window_t;
 
 struct bv_budgets {
     int32_t reserve_percent;
-    GHashTable *percents;
+    int64_t window_us;
+    GHashTable *windows;
 };
 
 bv_budgets_t *
@@ -19,7 +31,8 @@
 {
     bv_budgets_t *budgets = g_new0(bv_budgets_t, 1);
     budgets->reserve_percent = RESERVE_TRIES * TRY_PERCENT;
-    budgets->percents =
+    budgets->window_us = WINDOW_US;
+    budgets->windows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return budgets;
 }
@@ -30,74 +43,107 @@
     if (budgets == NULL) {
         return;
     }
-    g_hash_table_destroy(budgets->percents);
+    g_hash_table_destroy(budgets->windows);
     g_free(budgets);
 }
 
-static int32_t *
-percent_of(bv_budgets_t *budgets, const char *service)
+static window_t *
+window_of(bv_budgets_t *budgets, const char *service)
+{
+    window_t *window = g_hash_table_lookup(budgets->windows, service);
+    if (window == NULL) {
+        window = g_new0(window_t, 1);
+        g_hash_table_insert(budgets->windows, g_strdup(service), window);
+    }
+    return window;
+}
+
+static int64_t
+number_of(const bv_budgets_t *budgets, int64_t now_us)
+{
+    return now_us / (budgets->window_us / PARTS);
+}
+
+static part_t *
+present_part(bv_budgets_t *budgets, const char *service, int64_t now_us)
 {
-    int32_t *percent = g_hash_table_lookup(budgets->percents, service);
-    if (percent == NULL) {
-        percent = g_new(int32_t, 1);
-        *percent = budgets->reserve_percent;
-        g_hash_table_insert(budgets->percents, g_strdup(service), percent);
+    int64_t number = number_of(budgets, now_us);
+    part_t *part =
+        &window_of(budgets, service)->parts[(size_t)(number % (PARTS + 1))];
+    if (part->number != number) {
+        memset(part, 0, sizeof(*part));
+        part->number = number;
     }
-    return percent;
+    return part;
+}
+
+/* Tries left, in percent: earned in less than a window, spent in more. */
+static int64_t
+left_percent(bv_budgets_t *budgets, const char *service, int64_t now_us,
+             int64_t share_percent)
+{
+    const window_t *window = window_of(budgets, service);
+    int64_t number = number_of(budgets, now_us);
+    int64_t earned_percent = budgets->reserve_percent;
+    int64_t spent = 0;
+    for (size_t i = 0; i <= PARTS; i++) {
+        const part_t *part = &window->parts[i];
+        if (number - part->number < PARTS) {
+            earned_percent += part->earned_percent;
+        }
+        if (number - part->number <= PARTS) {
+            spent += part->spent;
+        }
+    }
+    return earned_percent * share_percent / 100 - spent * TRY_PERCENT;
 }
 
 void
-bv_budgets_earn(bv_budgets_t *budgets, const char *service,
+bv_budgets_earn(bv_budgets_t *budgets, int64_t now_us, const char *service,
                 uint32_t ratio_percent)
 {
-    int32_t *percent = percent_of(budgets, service);
-    int32_t most_percent = MAX(budgets->reserve_percent, MOST_PERCENT_LEAST);
-    *percent = MIN(*percent + (int32_t)ratio_percent, most_percent);
+    present_part(budgets, service, now_us)->earned_percent += ratio_percent;
+}
+
+void
+bv_budgets_charge(bv_budgets_t *budgets, int64_t now_us, const char *service)
+{
+    present_part(budgets, service, now_us)->spent++;
 }
 
 bool
-bv_budgets_spend(bv_budgets_t *budgets, const char *service,
+bv_budgets_spend(bv_budgets_t *budgets, int64_t now_us, const char *service,
                  bv_class_t importance)
 {
-    int32_t *percent = percent_of(budgets, service);
-    int32_t kept = importance == BV_CLASS_CRITICAL ? 0 : CRITICAL_TRIES;
-    if (*percent < (kept + 1) * TRY_PERCENT) {
+    part_t *part = present_part(budgets, service, now_us);
+    int64_t share_percent =
+        importance == BV_CLASS_CRITICAL ? 100 : NORMAL_SHARE_PERCENT;
+    if (left_percent(budgets, service, now_us, share_percent) < TRY_PERCENT) {
         return false;
     }
-    *percent -= TRY_PERCENT;
+    part->spent++;
     return true;
 }
 
 void
-bv_budgets_charge(bv_budgets_t *budgets, const char *service)
-{
-    int32_t *percent = percent_of(budgets, service);
-    *percent = MAX(*percent - TRY_PERCENT, -DEBT_TRIES * TRY_PERCENT);
-}
-
-static void
-set_reserve(bv_budgets_t *budgets, int32_t reserve_percent)
+bv_budgets_set_window(bv_budgets_t *budgets, int64_t window_us)
 {
-    budgets->reserve_percent = reserve_percent;
-    int32_t most_percent = MAX(reserve_percent, MOST_PERCENT_LEAST);
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, budgets->percents);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        int32_t *percent = value;
-        *percent = MIN(*percent, most_percent);
+    if (budgets->window_us != window_us) {
+        budgets->window_us = window_us;
+        g_hash_table_remove_all(budgets->windows);
     }
 }
 
 void
 bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries)
 {
-    set_reserve(budgets, (int32_t)tries * TRY_PERCENT);
+    budgets->reserve_percent = (int32_t)tries * TRY_PERCENT;
 }
 
 void
 bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
                          uint32_t members)
 {
-    set_reserve(budgets, (int32_t)(tries * TRY_PERCENT / MAX(members, 1)));
+    budgets->reserve_percent =
+        (int32_t)(tries * TRY_PERCENT / MAX(members, 1));
 }
--- a/core/config.c
+++ b/core/config.c
@@ -34,6 +34,7 @@
     int64_t ratio_percent;
     int64_t reserve;
     int64_t shared_reserve;
+    int64_t window_ms;
     int64_t reroutes;
     int64_t queue_target_ms;
     int64_t queue_limit;
@@ -75,6 +76,7 @@
     NUMBER("ratio_percent", ratio_percent, 0, 100),
     NUMBER("reserve", reserve, 1, 1000),
     NUMBER("shared_reserve", shared_reserve, 0, 100000),
+    NUMBER("window_ms", window_ms, 100, 600000),
     NUMBER("reroutes", reroutes, 0, 4),
     {NULL}};
 
@@ -229,6 +231,7 @@
         .credits = 3,
         .ratio_percent = 10,
         .reserve = 10,
+        .window_ms = 10000,
         .reroutes = 2,
         .queue_target_ms = 10,
         .queue_limit = 1000,
@@ -244,6 +247,7 @@
     config->retry_credits = (uint32_t)numbers.credits;
     config->retry_ratio_percent = (uint32_t)numbers.ratio_percent;
     config->retry_reserve = (uint32_t)numbers.reserve;
+    config->retry_window_us = numbers.window_ms * BV_US_PER_MS;
     config->retry_shared_reserve = (uint32_t)numbers.shared_reserve;
     config->reroutes_limit = (uint32_t)numbers.reroutes;
     config->queue_target_us = numbers.queue_target_ms * BV_US_PER_MS;
--- a/include/berylvane/core/budget.h
+++ b/include/berylvane/core/budget.h
@@ -6,38 +6,41 @@
 /*
  * budget - bounds retries and hedges by the recent first tries, by service
  *
- * Each first try to a service earns a share of a further try. What was earned
- * is kept up to a small reserve, with which a service starts. A call that is
- * made because work is repeated further up is a further try as well: it is
- * never held up, but it spends, so that all repeats together keep the share.
+ * Each first try to a service earns a share of a further try, which can be
+ * spent within a window of time; there is a small reserve besides. Where a
+ * service fails many calls, what was earned before helps the first of them. A
+ * call that is made because work is repeated further up is a further try as
+ * well: it is never held up, but it spends, so that all repeats together keep
+ * the share.
  */
 typedef struct bv_budgets bv_budgets_t;
 
 bv_budgets_t *bv_budgets_create(void);
 void bv_budgets_destroy(bv_budgets_t *budgets);
 
-void bv_budgets_earn(bv_budgets_t *budgets, const char *service,
-                     uint32_t ratio_percent);
+/* A first try goes out. */
+void bv_budgets_earn(bv_budgets_t *budgets, int64_t now_us,
+                     const char *service, uint32_t ratio_percent);
 
 /* A call of repeated work goes out: it spends even where nothing is left. */
-void bv_budgets_charge(bv_budgets_t *budgets, const char *service);
-
-/* Tries that a service starts with and keeps at most; the default is 10. */
-void bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries);
+void bv_budgets_charge(bv_budgets_t *budgets, int64_t now_us,
+                       const char *service);
 
 /*
- * Likewise, where `members` nodes have the tries together: each starts with
- * its part. A node keeps at least one try that it has earned, since it can
- * spend no less.
+ * Spends one further try; false when there is none for this class: critical
+ * work may use all of them, other work a part.
  */
+bool bv_budgets_spend(bv_budgets_t *budgets, int64_t now_us,
+                      const char *service, bv_class_t importance);
+
+/* Time in which what was earned can be spent; a change forgets all counts. */
+void bv_budgets_set_window(bv_budgets_t *budgets, int64_t window_us);
+
+/* Tries in each window that need not be earned; the default is 10. */
+void bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries);
+
+/* Likewise, where `members` nodes have the tries together: each has a part. */
 void bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
                               uint32_t members);
 
-/*
- * Spends one further try; false when there is none for this class: the last
- * one is kept for critical work.
- */
-bool bv_budgets_spend(bv_budgets_t *budgets, const char *service,
-                      bv_class_t importance);
-
 #endif
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -64,6 +64,8 @@
     uint32_t retry_reserve;
     /* Reserve of all nodes together; 0: each has one of its own. */
     uint32_t retry_shared_reserve;
+    /* Time in which earned retries can be spent. */
+    int64_t retry_window_us;
     uint32_t reroutes_limit;
     int64_t queue_target_us;
     uint32_t queue_limit;
--- a/node/configs.c
+++ b/node/configs.c
@@ -56,6 +56,7 @@
     bv_members_configure_admission(node);
     bv_node_limit_callers(node);
     bv_members_share_reserve(node);
+    bv_budgets_set_window(node->budgets, config->retry_window_us);
     bv_counter_add(BV_COUNT_CONFIG_ADOPTED, 1);
     bv_decision_t decision = {
         .kind = BV_DECISION_ADOPTED,
--- a/node/picks.c
+++ b/node/picks.c
@@ -35,7 +35,7 @@
         *reason = BV_REASON_THRESHOLD;
         return false;
     }
-    if (!bv_budgets_spend(node->budgets, state->service,
+    if (!bv_budgets_spend(node->budgets, node->now_us, state->service,
                           bv_class_of(state->priority))) {
         *reason = BV_REASON_NO_BUDGET;
         return false;
@@ -84,11 +84,11 @@
              bv_reason_t *reason)
 {
     if (kind == BV_FIRST_TRY && state->repeat) {
-        bv_budgets_charge(node->budgets, state->service);
+        bv_budgets_charge(node->budgets, node->now_us, state->service);
         return true;
     }
     if (kind == BV_FIRST_TRY) {
-        bv_budgets_earn(node->budgets, state->service,
+        bv_budgets_earn(node->budgets, node->now_us, state->service,
                         state->config->retry_ratio_percent);
         return true;
     }
