A node that knows few members has no more than its own reserve for retries

Cause: read in the diff: a node that has just started knows few members, and would take the whole reserve of the deployment as its own; all nodes start at once after a herd kill. Change: the least of both; one option struct for the reserve. Figures: budget shared_reserve {2, 48, 1}: 48 tries before, 2 now.

--- a/core/budget.c
+++ b/core/budget.c
@@ -135,15 +135,14 @@
 }
 
 void
-bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries)
+bv_budgets_set_reserve(bv_budgets_t *budgets,
+                       const bv_budget_reserve_t *reserve)
 {
-    budgets->reserve_percent = (int32_t)tries * TRY_PERCENT;
-}
-
-void
-bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
-                         uint32_t members)
-{
-    budgets->reserve_percent =
-        (int32_t)(tries * TRY_PERCENT / MAX(members, 1));
+    uint32_t percent = reserve->tries * TRY_PERCENT;
+    if (reserve->shared_tries > 0) {
+        uint32_t part_percent =
+            reserve->shared_tries * TRY_PERCENT / MAX(reserve->members, 1);
+        percent = MIN(percent, part_percent);
+    }
+    budgets->reserve_percent = (int32_t)percent;
 }
--- a/include/berylvane/core/budget.h
+++ b/include/berylvane/core/budget.h
@@ -36,11 +36,18 @@
 /* Time in which what was earned can be spent; a change forgets all counts. */
 void bv_budgets_set_window(bv_budgets_t *budgets, int64_t window_us);
 
-/* Tries in each window that need not be earned; the default is 10. */
-void bv_budgets_set_reserve(bv_budgets_t *budgets, uint32_t tries);
-
-/* Likewise, where `members` nodes have the tries together: each has a part. */
-void bv_budgets_share_reserve(bv_budgets_t *budgets, uint32_t tries,
-                              uint32_t members);
+/*
+ * Tries in each window that need not be earned; the default is 10. `tries` is
+ * the most of one node, also while it knows few others.
+ */
+typedef struct {
+    uint32_t tries;
+    /* What `members` nodes have together, in equal parts; 0: no such bound. */
+    uint32_t shared_tries;
+    uint32_t members;
+} bv_budget_reserve_t;
+
+void bv_budgets_set_reserve(bv_budgets_t *budgets,
+                            const bv_budget_reserve_t *reserve);
 
 #endif
--- a/node/members.c
+++ b/node/members.c
@@ -71,13 +71,13 @@
     if (config == NULL) {
         return;
     }
-    if (config->retry_shared_reserve == 0) {
-        bv_budgets_set_reserve(node->budgets, config->retry_reserve);
-        return;
-    }
-    /* The node itself is not among the present members. */
-    bv_budgets_share_reserve(node->budgets, config->retry_shared_reserve,
-                             bv_membership_present(node->membership) + 1);
+    bv_budget_reserve_t reserve = {
+        .tries = config->retry_reserve,
+        .shared_tries = config->retry_shared_reserve,
+        /* The node itself is not among the present members. */
+        .members = bv_membership_present(node->membership) + 1,
+    };
+    bv_budgets_set_reserve(node->budgets, &reserve);
 }
 
 static void
