--- a/tests/e2e/test_shed.c
+++ b/tests/e2e/test_shed.c
@@ -102,18 +102,18 @@
 
 /*
  * A target goes on with work that its node gave up, and calls others for it.
- * Waits until no target has made a call for a while.
+ * Waits until no call has gone out for a while.
  */
 static void
 wait_quiet(void)
 {
     uint64_t before;
-    uint64_t calls = counter_sum("calls_local");
+    uint64_t sent = counter_sum("dispatches");
     do {
-        before = calls;
+        before = sent;
         usleep(QUIET_US);
-        calls = counter_sum("calls_local");
-    } while (calls != before);
+        sent = counter_sum("dispatches");
+    } while (sent != before);
 }
 
 static json_t *
