End the logger when its last line and the stop share a wake; cheaper headers and ids

The writer's wait cleared the wake of a line and that of the stop at once, wrote the line and waited for ever. A reader that stopped reading held the stop up as well.

Signals are blocked at the start of main, so that none finds the process without a handler; a call with a key is named by it in the logs.

Ids were written by one g_snprintf a byte, in three copies, and each header looked up split the whole block: one function, and a scan in place.

--- a/caller/own_dialect.c
+++ b/caller/own_dialect.c
@@ -17,6 +17,7 @@
     }
     call->headers = bv_headers_filter(lines);
     call->key = bv_headers_get(lines, BV_HEADER_KEY);
+    call->label = g_strdup(call->key);
     call->customer = bv_headers_get(lines, BV_HEADER_CUSTOMER);
     call->trace = bv_headers_get(lines, BV_HEADER_TRACE);
     if (!call->outside) {
--- a/collector/exporter.c
+++ b/collector/exporter.c
@@ -8,9 +8,11 @@
 #include <apr_thread_proc.h>
 #include <jansson.h>
 #include <string.h>
+#include <unistd.h>
 
 #define BATCH_LIMIT 256
 #define BATCH_WAIT_US BV_US_PER_S
+#define GATHER_US (BV_US_PER_S / 4)
 #define SEND_TIMEOUT_US (2 * BV_US_PER_S)
 
 struct bv_exporter {
@@ -30,14 +32,6 @@
                      value);
 }
 
-static void
-hex(char *text, const uint8_t *bytes, size_t size)
-{
-    for (size_t i = 0; i < size; i++) {
-        g_snprintf(text + 2 * i, 3, "%02x", bytes[i]);
-    }
-}
-
 static json_t *
 render_span(const bv_span_t *span)
 {
@@ -46,8 +40,8 @@
     char parent[2 * BV_SPAN_BYTES + 1];
     char start[32];
     char end[32];
-    hex(id, span->trace.span, BV_SPAN_BYTES);
-    hex(parent, span->parent, BV_SPAN_BYTES);
+    bv_hex_write(id, span->trace.span, BV_SPAN_BYTES);
+    bv_hex_write(parent, span->parent, BV_SPAN_BYTES);
     g_snprintf(start, sizeof(start), "%" G_GINT64_FORMAT "000",
                (gint64)span->start_wall_us);
     g_snprintf(end, sizeof(end), "%" G_GINT64_FORMAT "000",
@@ -108,21 +102,30 @@
     g_ptr_array_set_size(exporter->batch, 0);
 }
 
+static void
+send_all(bv_exporter_t *exporter, bv_span_t *span)
+{
+    while (span != NULL) {
+        g_ptr_array_add(exporter->batch, span);
+        if (exporter->batch->len >= BATCH_LIMIT) {
+            send_batch(exporter);
+        }
+        span = bv_ring_pop(exporter->ring);
+    }
+    send_batch(exporter);
+}
+
 static void *APR_THREAD_FUNC
 exporter_run(apr_thread_t *thread, void *data)
 {
     (void)thread;
     bv_exporter_t *exporter = data;
     while (!g_atomic_int_get(&exporter->stopping)) {
-        bv_span_t *span = bv_ring_wait(exporter->ring, BATCH_WAIT_US);
-        if (span != NULL) {
-            g_ptr_array_add(exporter->batch, span);
-        }
-        if (span == NULL || exporter->batch->len >= BATCH_LIMIT) {
-            send_batch(exporter);
-        }
+        send_all(exporter, bv_ring_wait(exporter->ring, BATCH_WAIT_US));
+        /* Spans of this time share a wake. */
+        usleep(GATHER_US);
     }
-    send_batch(exporter);
+    send_all(exporter, bv_ring_pop(exporter->ring));
     return NULL;
 }
 
--- a/collector/trace.c
+++ b/collector/trace.c
@@ -2,14 +2,6 @@
 
 #include <string.h>
 
-static void
-write_hex(char *text, const uint8_t *bytes, size_t size)
-{
-    for (size_t i = 0; i < size; i++) {
-        g_snprintf(text + 2 * i, 3, "%02x", bytes[i]);
-    }
-}
-
 static bool
 read_hex(const char *text, uint8_t *bytes, size_t size)
 {
@@ -39,9 +31,9 @@
 bv_trace_text(const bv_trace_t *trace, char text[BV_TRACE_TEXT_BYTES])
 {
     memcpy(text, "00-", 3);
-    write_hex(text + 3, trace->trace.bytes, BV_ID_BYTES);
+    bv_hex_write(text + 3, trace->trace.bytes, BV_ID_BYTES);
     text[35] = '-';
-    write_hex(text + 36, trace->span, BV_SPAN_BYTES);
+    bv_hex_write(text + 36, trace->span, BV_SPAN_BYTES);
     memcpy(text + 52, "-01", 4);
     return text;
 }
--- a/common/headers.c
+++ b/common/headers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define LINE_END "\r\n"
+
 static const char *const hop_by_hop[] = {"Connection",
                                          "Keep-Alive",
                                          "Proxy-Authenticate",
@@ -42,6 +44,19 @@
     }
 }
 
+/* Cuts off the first line of `*rest`, which is NULL after the last. */
+static char *
+next_line(char **rest)
+{
+    char *line = *rest;
+    char *end = strstr(line, LINE_END);
+    *rest = end != NULL ? end + strlen(LINE_END) : NULL;
+    if (end != NULL) {
+        *end = '\0';
+    }
+    return line;
+}
+
 void
 bv_headers_each(const char *block,
                 void (*visit)(void *context, const char *name,
@@ -51,16 +66,18 @@
     if (block == NULL) {
         return;
     }
-    char **lines = g_strsplit(block, "\r\n", -1);
-    for (char **line = lines; *line != NULL; line++) {
-        char *colon = strchr(*line, ':');
+    char *copy = g_strdup(block);
+    char *rest = copy;
+    while (rest != NULL) {
+        char *line = next_line(&rest);
+        char *colon = strchr(line, ':');
         if (colon == NULL) {
             continue;
         }
         *colon = '\0';
-        visit(context, *line, g_strstrip(colon + 1));
+        visit(context, line, g_strstrip(colon + 1));
     }
-    g_strfreev(lines);
+    g_free(copy);
 }
 
 static void
@@ -77,24 +94,20 @@
     return g_string_free(filtered, FALSE);
 }
 
-typedef struct {
-    const char *name;
-    char *value;
-} search_t;
-
-static void
-keep_match(void *context, const char *name, const char *value)
-{
-    search_t *search = context;
-    if (search->value == NULL && g_ascii_strcasecmp(name, search->name) == 0) {
-        search->value = g_strdup(value);
-    }
-}
-
 char *
 bv_headers_get(const char *block, const char *name)
 {
-    search_t search = {.name = name};
-    bv_headers_each(block, keep_match, &search);
-    return search.value;
+    size_t length = strlen(name);
+    const char *line = block;
+    while (line != NULL) {
+        const char *end = strstr(line, LINE_END);
+        size_t size = end != NULL ? (size_t)(end - line) : strlen(line);
+        if (size > length && line[length] == ':' &&
+            g_ascii_strncasecmp(line, name, length) == 0) {
+            const char *value = line + length + 1;
+            return g_strstrip(g_strndup(value, size - length - 1));
+        }
+        line = end != NULL ? end + strlen(LINE_END) : NULL;
+    }
+    return NULL;
 }
--- a/common/log.c
+++ b/common/log.c
@@ -6,6 +6,8 @@
 
 #include <apr_thread_proc.h>
 #include <errno.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -15,6 +17,9 @@
 /* Lines of this time share a write. */
 #define GATHER_US (BV_US_PER_S / 20)
 #define WRITE_BYTES 32768
+/* How long the writer waits for a reader at once, and before it gives up on
+ * one when the program stops. */
+#define READER_WAIT_MS 200
 
 static struct {
     apr_pool_t *pool;
@@ -41,19 +46,53 @@
     return -1;
 }
 
-/* May wait for a slow reader; the ring fills meanwhile and drops lines. */
-static void
+/* Waits for a reader; false when the program stops and nobody reads. */
+static bool
+wait_reader(void)
+{
+    struct pollfd output = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    while (poll(&output, 1, READER_WAIT_MS) <= 0) {
+        if (g_atomic_int_get(&logger.stopping)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * The ring fills and drops lines while a slow reader is waited for. A pipe
+ * that is writable takes PIPE_BUF bytes without blocking. False when the
+ * program stops and nobody reads.
+ */
+static bool
 write_all(const GString *text)
 {
     size_t done = 0;
     while (done < text->len) {
-        ssize_t written =
-            write(STDOUT_FILENO, text->str + done, text->len - done);
+        if (!wait_reader()) {
+            return false;
+        }
+        ssize_t written = write(STDOUT_FILENO, text->str + done,
+                                MIN(text->len - done, PIPE_BUF));
         if (written < 0 && errno != EINTR) {
-            return;
+            return true;
         }
         done += written > 0 ? (size_t)written : 0;
     }
+    return true;
+}
+
+static void
+drop_lines(void)
+{
+    for (;;) {
+        char *line = bv_ring_pop(logger.ring);
+        if (line == NULL) {
+            return;
+        }
+        bv_counter_add(BV_COUNT_LOG_DROPPED, 1);
+        g_free(line);
+    }
 }
 
 static void
@@ -84,12 +123,20 @@
     (void)data;
     GString *text = g_string_sized_new(WRITE_BYTES);
     for (;;) {
-        char *line = bv_ring_wait(logger.ring, -1);
-        if (line == NULL && g_atomic_int_get(&logger.stopping)) {
+        /* One wait may take the wake of a line and that of the stop. */
+        bool stopping = g_atomic_int_get(&logger.stopping);
+        char *line = bv_ring_wait(logger.ring, stopping ? 0 : -1);
+        if (line == NULL && stopping) {
             break;
         }
+        if (line == NULL) {
+            continue;
+        }
         gather(text, line);
-        write_all(text);
+        if (!write_all(text)) {
+            drop_lines();
+            break;
+        }
         g_string_truncate(text, 0);
         report_dropped();
         if (!g_atomic_int_get(&logger.stopping)) {
@@ -107,6 +154,7 @@
     logger.program = g_strdup(program);
     logger.name = g_strdup(name);
     logger.least = least;
+    g_atomic_int_set(&logger.stopping, 0);
     logger.ring = bv_ring_create(logger.pool, LOG_RING_CAPACITY);
     apr_thread_create(&logger.thread, NULL, logger_run, NULL, logger.pool);
 }
--- a/core/types.c
+++ b/core/types.c
@@ -40,12 +40,21 @@
     return id;
 }
 
+void
+bv_hex_write(char *text, const uint8_t *bytes, size_t size)
+{
+    static const char digits[] = "0123456789abcdef";
+    for (size_t i = 0; i < size; i++) {
+        text[2 * i] = digits[bytes[i] >> 4];
+        text[2 * i + 1] = digits[bytes[i] & 15];
+    }
+    text[2 * size] = '\0';
+}
+
 char *
 bv_id_text(const bv_id_t *id, char text[BV_ID_TEXT_BYTES])
 {
-    for (size_t i = 0; i < BV_ID_BYTES; i++) {
-        g_snprintf(text + 2 * i, 3, "%02x", id->bytes[i]);
-    }
+    bv_hex_write(text, id->bytes, BV_ID_BYTES);
     return text;
 }
 
--- a/include/berylvane/core/types.h
+++ b/include/berylvane/core/types.h
@@ -57,6 +57,9 @@
 /* Fills an id with random bytes. */
 bv_id_t bv_id_random(GRand *random);
 
+/* Writes `size` bytes as hexadecimal digits and a NUL. */
+void bv_hex_write(char *text, const uint8_t *bytes, size_t size);
+
 /* Writes the id as 32 hexadecimal digits. */
 char *bv_id_text(const bv_id_t *id, char text[BV_ID_TEXT_BYTES]);
 
--- a/node/main.c
+++ b/node/main.c
@@ -59,10 +59,9 @@
 }
 
 static int
-run(bv_settings_t *settings)
+run(apr_pool_t *pool, bv_settings_t *settings)
 {
     GError *error = NULL;
-    apr_pool_t *pool = bv_program_start();
     bv_log_start("berylvane-node", settings->name,
                  (bv_log_level_t)settings->log_level);
     const bv_dialect_t *dialect = settings->dialect == BV_DIALECT_PLATFORM
@@ -88,6 +87,8 @@
 main(int argc, char **argv)
 {
     arguments_t arguments = {0};
+    /* First, so that no signal finds the process without a handler. */
+    apr_pool_t *pool = bv_program_start();
     argp_err_exit_status = BV_EXIT_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &arguments);
     bv_findings_t *findings = bv_findings_create();
@@ -98,7 +99,7 @@
     if (settings == NULL) {
         return BV_EXIT_USAGE;
     }
-    int status = arguments.check_only ? BV_EXIT_OK : run(settings);
+    int status = arguments.check_only ? BV_EXIT_OK : run(pool, settings);
     bv_settings_destroy(settings);
     return status;
 }
