A soak under random faults: plans by seed, faults from outside, promises checked

A seed makes series of faults that overlap: nodes and targets killed, paused, terminated, reloaded; links cut, cut one way, silent, reset, delayed, lossy; a store that is down, silent, slow or loses answers; configurations in between. Checked: answers against the targets' records, ends of processes, generations that never go back, and after the faults readiness, what was accepted, and service at every node.

Two faults of the judge: a try that no node took was counted as a node's "not-run" after one in doubt (seed 204, traced: the only node that logged the key had answered "unknown"; the next entry was dead), and the stand-in target did not record what it answered with 503, though in berylvane's own dialect what a target answers it has run (seeds 109, 210). The judge now names each request.

--- a/load/judge.c
+++ b/load/judge.c
@@ -1,7 +1,14 @@
 #include "load.h"
 
+#include <stdio.h>
 #include <string.h>
 
+bv_outcome_t
+load_outcome(bool taken, bv_outcome_t outcome, bool in_doubt)
+{
+    return !taken && in_doubt ? BV_OUTCOME_UNKNOWN : outcome;
+}
+
 /* Executions of POST requests, counted by "service key". */
 typedef struct {
     GHashTable *by_service_and_key;
@@ -69,22 +76,34 @@
     return good;
 }
 
+/* Counts and names a request whose answer the records contradict. */
+static void
+tell(bool broken, uint64_t *count, const char *key, const char *what)
+{
+    if (broken) {
+        fprintf(stderr, "request %s: %s\n", key, what);
+        (*count)++;
+    }
+}
+
 static void
 judge_result(const record_t *record, load_result_t *result,
              load_verdict_t *verdict)
 {
     for (guint i = 0; i < result->not_run_keys->len; i++) {
-        verdict->false_not_run += g_hash_table_contains(
-            record->keys, result->not_run_keys->pdata[i]);
+        const char *key = result->not_run_keys->pdata[i];
+        tell(g_hash_table_contains(record->keys, key), &verdict->false_not_run,
+             key, "a try ran, though told it had not");
     }
     if (result->key == NULL) {
         return;
     }
     bool executed = g_hash_table_contains(record->keys, result->key);
     result->good &= !g_hash_table_contains(record->twice, result->key);
-    verdict->lost += result->outcome == BV_OUTCOME_RAN && !executed;
-    verdict->false_not_run +=
-        result->outcome == BV_OUTCOME_NOT_RUN && executed;
+    tell(result->outcome == BV_OUTCOME_RAN && !executed, &verdict->lost,
+         result->key, "never ran, though told it had");
+    tell(result->outcome == BV_OUTCOME_NOT_RUN && executed,
+         &verdict->false_not_run, result->key, "ran, though told it had not");
 }
 
 bool
@@ -99,10 +118,12 @@
     };
     bool good = read_directory(&record, directory, error);
     GHashTableIter iterator;
+    gpointer name;
     gpointer count;
     g_hash_table_iter_init(&iterator, record.by_service_and_key);
-    while (g_hash_table_iter_next(&iterator, NULL, &count)) {
-        verdict->ran_twice += GPOINTER_TO_UINT(count) > 1;
+    while (g_hash_table_iter_next(&iterator, &name, &count)) {
+        tell(GPOINTER_TO_UINT(count) > 1, &verdict->ran_twice, name,
+             "ran twice");
     }
     verdict->executions = record.executions;
     for (guint i = 0; i < run->results->len; i++) {
--- a/load/load.h
+++ b/load/load.h
@@ -102,6 +102,13 @@
     uint64_t false_not_run;
 } load_verdict_t;
 
+/*
+ * The outcome of the last try under a key. A try that no node took says
+ * nothing of one before it that was left in doubt; a node that says "not-run"
+ * speaks of the key.
+ */
+bv_outcome_t load_outcome(bool taken, bv_outcome_t outcome, bool in_doubt);
+
 /*
  * Reads every file in `directory` as a target's record and compares it with
  * the results: keys run more than once by one service, "ran" without an
--- a/load/run.c
+++ b/load/run.c
@@ -18,6 +18,8 @@
     uint64_t number;
     int64_t scheduled_us;
     uint32_t retries_left;
+    /* A try with its key ended without a word on whether it ran. */
+    bool in_doubt;
     char *path;
     char *key;
     char *customer;
@@ -224,6 +226,10 @@
 {
     request_t *request = answer->request;
     bool good = answer->right;
+    answer->outcome = load_outcome(answer->result != BV_HTTP_NOT_SENT,
+                                   answer->outcome, request->in_doubt);
+    request->in_doubt |=
+        request->key != NULL && answer->outcome == BV_OUTCOME_UNKNOWN;
     if (answer->outcome == BV_OUTCOME_NOT_RUN && answer->key != NULL &&
         request->key == NULL) {
         g_ptr_array_add(request->not_run_keys, g_strdup(answer->key));
--- a/standin/link/conn.c
+++ b/standin/link/conn.c
@@ -107,15 +107,22 @@
     return conn->far;
 }
 
+static bool
+is_held(const link_t *link, int end)
+{
+    return link->faults.hold_answers && end == 1;
+}
+
 int64_t
-link_conn_prepare(link_conn_t *conn, GArray *poll_items)
+link_conn_prepare(const link_t *link, link_conn_t *conn, GArray *poll_items)
 {
     int64_t due_us = INT64_MAX;
     for (int end = 0; end < 2; end++) {
         flow_t *from = &conn->flows[end];
         const flow_t *into = &conn->flows[1 - end];
         struct pollfd item = {.fd = conn->fds[end]};
-        if (!from->ended && from->queued < QUEUE_LIMIT_BYTES) {
+        if (!from->ended && from->queued < QUEUE_LIMIT_BYTES &&
+            !is_held(link, end)) {
             item.events |= POLLIN;
         }
         if (into->blocked) {
--- a/standin/link/link.h
+++ b/standin/link/link.h
@@ -41,6 +41,8 @@
     /* Close connections and refuse new ones, from anywhere or from afar. */
     bool cut;
     bool cut_far;
+    /* Hold back what the instance sends on connections from callers. */
+    bool hold_answers;
     /* Let the connections of this moment go silent for good. */
     bool silence;
 } link_faults_t;
@@ -120,7 +122,8 @@
 bool link_conn_is_far(const link_conn_t *conn);
 
 /* Adds two items to the poll list; returns when the next chunk is due. */
-int64_t link_conn_prepare(link_conn_t *conn, GArray *poll_items);
+int64_t link_conn_prepare(const link_t *link, link_conn_t *conn,
+                          GArray *poll_items);
 
 /* Reads and writes what can be; false when the connection is over. */
 bool link_conn_run(link_t *link, link_conn_t *conn,
--- a/standin/link/relay.c
+++ b/standin/link/relay.c
@@ -273,7 +273,7 @@
     }
     for (guint i = 0; i < link->conns->len; i++) {
         int64_t conn_due_us =
-            link_conn_prepare(link->conns->pdata[i], link->poll_items);
+            link_conn_prepare(link, link->conns->pdata[i], link->poll_items);
         due_us = MIN(due_us, conn_due_us);
     }
     return due_us;
--- a/standin/link/settings.c
+++ b/standin/link/settings.c
@@ -22,6 +22,7 @@
                                           FAULT(duplicate_percent, 100),
                                           SWITCH(cut),
                                           SWITCH(cut_far),
+                                          SWITCH(hold_answers),
                                           SWITCH(silence),
                                           {NULL}};
 
--- a/standin/target/jobs.c
+++ b/standin/target/jobs.c
@@ -339,6 +339,7 @@
         return;
     }
     if (target->faults.refuse) {
+        record(target, call);
         reply_plain(call, 503, NULL);
         return;
     }
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,248 @@
+#include "soak.h"
+
+#include "berylvane/common/clock.h"
+#include "berylvane/common/findings.h"
+#include "berylvane/common/program.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define SETTLE_US BV_US_PER_S
+#define RETRY_US (BV_US_PER_S / 10)
+#define END_RETRIES 600
+#define LOAD_MARGIN_S 4
+
+typedef struct {
+    uint32_t seed;
+    uint32_t seeds;
+    int64_t seconds;
+    const char *regressions;
+} arguments_t;
+
+static const struct argp_option options[] = {
+    {"seed", 's', "N", 0, "the first seed", 0},
+    {"seeds", 'n', "N", 0, "how many seeds, one after the other", 0},
+    {"seconds", 't', "N", 0, "how long faults begin, for each seed", 0},
+    {"regressions", 'r', "FILE", 0,
+     "first the seeds of FILE: \"SEED SECONDS CAUSE\" a line", 0},
+    {0}};
+
+static error_t
+parse_option(int key, char *text, struct argp_state *state)
+{
+    arguments_t *arguments = state->input;
+    switch (key) {
+    case 's':
+        arguments->seed = (uint32_t)strtoul(text, NULL, 10);
+        return 0;
+    case 'n':
+        arguments->seeds = (uint32_t)strtoul(text, NULL, 10);
+        return 0;
+    case 't':
+        arguments->seconds = strtoll(text, NULL, 10);
+        return 0;
+    case 'r':
+        arguments->regressions = text;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp parser = {
+    .options = options,
+    .parser = parse_option,
+    .doc = "Runs a deployment on the loopback under random faults and checks "
+           "what berylvane promises. The same seed makes the same plan.",
+};
+
+typedef struct {
+    soak_t *soak;
+    json_t *load;
+    char *report;
+} load_t;
+
+static gpointer
+run_load(gpointer data)
+{
+    load_t *load = data;
+    return GINT_TO_POINTER(
+        cluster_load(load->soak->cluster, load->load, "soak", load->report));
+}
+
+static void
+run_step(soak_t *soak, const soak_step_t *step)
+{
+    const soak_fault_t *fault = &soak_faults[step->fault];
+    printf("%6.2f s %s: %s%s\n", (double)step->at_us / BV_US_PER_S,
+           fault->common ? "all" : cluster_name(soak->cluster, step->instance),
+           fault->name, step->begins ? "" : ", over");
+    if (step->begins) {
+        soak->faults++;
+        fault->begin(soak, step->instance);
+        return;
+    }
+    fault->end(soak, step->instance);
+}
+
+/* Ends every fault, whatever of it the plan has ended before. */
+static void
+mend_all(soak_t *soak)
+{
+    for (size_t i = 0; i < cluster_size(soak->cluster); i++) {
+        for (size_t fault = 0; fault < soak_fault_count; fault++) {
+            int tries = 0;
+            while (!soak_faults[fault].end(soak, i)) {
+                if (tries++ == END_RETRIES) {
+                    soak_finding(soak, "%s: %s does not end",
+                                 cluster_name(soak->cluster, i),
+                                 soak_faults[fault].name);
+                    break;
+                }
+                usleep(RETRY_US);
+            }
+        }
+    }
+}
+
+static void
+play(soak_t *soak, const GArray *plan)
+{
+    int64_t started_us = bv_clock_now_us();
+    for (guint i = 0; i < plan->len; i++) {
+        const soak_step_t *step = &g_array_index(plan, soak_step_t, i);
+        int64_t left_us = started_us + step->at_us - bv_clock_now_us();
+        if (left_us > 0) {
+            usleep((useconds_t)left_us);
+        }
+        run_step(soak, step);
+        soak_check_processes(soak);
+    }
+    mend_all(soak);
+}
+
+static void
+play_under_load(soak_t *soak, const json_t *deployment, const char *work,
+                const GArray *plan, int64_t seconds)
+{
+    load_t load = {
+        .soak = soak,
+        .load = json_deep_copy(json_object_get(deployment, "load")),
+        .report = g_build_filename(work, "report.json", NULL),
+    };
+    json_object_set_new(load.load, "seconds",
+                        json_integer(seconds + LOAD_MARGIN_S));
+    GThread *sender = g_thread_new("load", run_load, &load);
+    GThread *watcher =
+        g_thread_new("generations", soak_watch_generations, soak);
+    usleep(SETTLE_US);
+    play(soak, plan);
+    if (GPOINTER_TO_INT(g_thread_join(sender)) != 0) {
+        soak_finding(soak, "answers and targets' records differ, see %s",
+                     load.report);
+    }
+    g_atomic_int_set(&soak->stopping, 1);
+    g_thread_join(watcher);
+    soak_check_processes(soak);
+    soak_check_recovery(soak);
+    json_decref(load.load);
+    g_free(load.report);
+}
+
+static void
+run_cluster(soak_t *soak, const json_t *deployment, const char *work,
+            uint32_t seed, int64_t seconds)
+{
+    GError *error = NULL;
+    cluster_options_t cluster = {
+        .build_directory = SOAK_BUILD,
+        .work_directory = work,
+        .deployment = deployment,
+        .deployment_directory = SOAK_SOURCE,
+    };
+    soak->cluster = cluster_start(&cluster, &error);
+    if (soak->cluster == NULL) {
+        soak_finding(soak, "not started: %s", error->message);
+        g_error_free(error);
+        return;
+    }
+    GArray *plan =
+        soak_plan(seed, cluster_size(soak->cluster), seconds * BV_US_PER_S);
+    play_under_load(soak, deployment, work, plan, seconds);
+    g_array_unref(plan);
+    if (!cluster_stop(soak->cluster)) {
+        soak_finding(soak, "a node did not stop as it should");
+    }
+}
+
+/* True when no promise was broken. */
+static bool
+run_seed(const json_t *deployment, uint32_t seed, int64_t seconds)
+{
+    soak_t soak = {
+        .base = SOAK_SOURCE "/../e2e/base.json",
+        .base_changed = SOAK_SOURCE "/../e2e/base_changed.json",
+        .findings = g_ptr_array_new_with_free_func(g_free),
+    };
+    g_mutex_init(&soak.mutex);
+    char *work = g_dir_make_tmp("berylvane-soak-XXXXXX", NULL);
+    printf("seed %u, %d s, logs in %s\n", seed, (int)seconds, work);
+    run_cluster(&soak, deployment, work, seed, seconds);
+    bool good = soak.findings->len == 0;
+    printf("seed %u: %s, %u faults, %u findings\n", seed,
+           good ? "ok" : "failed", soak.faults, soak.findings->len);
+    g_ptr_array_unref(soak.findings);
+    g_mutex_clear(&soak.mutex);
+    g_free(work);
+    return good;
+}
+
+static int
+run_regressions(const json_t *deployment, const char *path)
+{
+    char *text = NULL;
+    int failed = 0;
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        fprintf(stderr, "%s: cannot be read\n", path);
+        return 1;
+    }
+    char **lines = g_strsplit(text, "\n", -1);
+    for (char **line = lines; *line != NULL; line++) {
+        unsigned int seed;
+        unsigned int seconds;
+        if (sscanf(*line, "%u %u", &seed, &seconds) == 2) {
+            failed += !run_seed(deployment, seed, seconds);
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    return failed;
+}
+
+int
+main(int argc, char **argv)
+{
+    arguments_t arguments = {.seed = 1, .seeds = 1, .seconds = 8};
+    argp_err_exit_status = BV_EXIT_USAGE;
+    argp_parse(&parser, argc, argv, 0, NULL, &arguments);
+    bv_program_start();
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    bv_findings_t *findings = bv_findings_create();
+    json_t *deployment = bv_json_load(SOAK_SOURCE "/soak.json", findings);
+    bv_findings_print(findings, stderr);
+    bv_findings_destroy(findings);
+    if (deployment == NULL) {
+        return BV_EXIT_USAGE;
+    }
+    int failed = arguments.regressions != NULL
+                     ? run_regressions(deployment, arguments.regressions)
+                     : 0;
+    for (uint32_t i = 0; i < arguments.seeds; i++) {
+        failed += !run_seed(deployment, arguments.seed + i, arguments.seconds);
+    }
+    json_decref(deployment);
+    printf("%d seeds failed\n", failed);
+    return failed == 0 ? BV_EXIT_OK : BV_EXIT_FAILED;
+}
--- /dev/null
+++ b/tests/soak/plan.c
@@ -0,0 +1,67 @@
+#include "soak.h"
+
+#include "berylvane/common/clock.h"
+
+#define SERIES_EACH_US (2 * BV_US_PER_S)
+#define REPEATS_MOST 4
+#define LENGTH_LEAST_US (BV_US_PER_S / 20)
+#define LENGTH_MOST_US (2 * BV_US_PER_S)
+#define PAUSE_MOST_US BV_US_PER_S
+
+static int64_t
+between(GRand *random, int64_t low, int64_t high)
+{
+    return g_rand_int_range(random, (gint32)low, (gint32)high);
+}
+
+static gint
+compare_steps(gconstpointer a, gconstpointer b)
+{
+    const soak_step_t *first = a;
+    const soak_step_t *second = b;
+    return (first->at_us > second->at_us) - (first->at_us < second->at_us);
+}
+
+static void
+add_step(GArray *plan, soak_step_t step, int64_t at_us, bool begins)
+{
+    step.at_us = at_us;
+    step.begins = begins;
+    g_array_append_val(plan, step);
+}
+
+/* One kind of fault, up to four times; at one instance, or at another each. */
+static void
+add_series(GArray *plan, GRand *random, size_t instances, int64_t length_us)
+{
+    int64_t at_us = between(random, 0, length_us);
+    int64_t repeats = between(random, 1, REPEATS_MOST + 1);
+    bool moves = g_rand_boolean(random);
+    soak_step_t step = {
+        .fault = (size_t)between(random, 0, (int64_t)soak_fault_count),
+        .instance = (size_t)between(random, 0, (int64_t)instances),
+    };
+    for (int64_t i = 0; i < repeats; i++) {
+        int64_t lasts_us = between(random, LENGTH_LEAST_US, LENGTH_MOST_US);
+        add_step(plan, step, at_us, true);
+        add_step(plan, step, at_us + lasts_us, false);
+        at_us += lasts_us + between(random, 0, PAUSE_MOST_US);
+        if (moves) {
+            step.instance = (size_t)between(random, 0, (int64_t)instances);
+        }
+    }
+}
+
+GArray *
+soak_plan(uint32_t seed, size_t instances, int64_t length_us)
+{
+    GRand *random = g_rand_new_with_seed(seed);
+    GArray *plan = g_array_new(FALSE, FALSE, sizeof(soak_step_t));
+    int64_t series = 2 + length_us / SERIES_EACH_US;
+    for (int64_t i = 0; i < series; i++) {
+        add_series(plan, random, instances, length_us);
+    }
+    g_array_sort(plan, compare_steps);
+    g_rand_free(random);
+    return plan;
+}
--- a/tests/test_load_judge.c
+++ b/tests/test_load_judge.c
@@ -87,10 +87,35 @@
 }
 END_TEST
 
+typedef struct {
+    bool taken;
+    bv_outcome_t outcome;
+    bool in_doubt;
+    bv_outcome_t expected;
+} outcome_case_t;
+
+static const outcome_case_t outcome_cases[] = {
+    {true, BV_OUTCOME_NOT_RUN, false, BV_OUTCOME_NOT_RUN},
+    {true, BV_OUTCOME_NOT_RUN, true, BV_OUTCOME_NOT_RUN},
+    {true, BV_OUTCOME_RAN, true, BV_OUTCOME_RAN},
+    {false, BV_OUTCOME_NOT_RUN, false, BV_OUTCOME_NOT_RUN},
+    {false, BV_OUTCOME_NOT_RUN, true, BV_OUTCOME_UNKNOWN},
+};
+
+START_TEST(test_outcome)
+{
+    const outcome_case_t *row = &outcome_cases[_i];
+    ck_assert_int_eq(load_outcome(row->taken, row->outcome, row->in_doubt),
+                     row->expected);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
-        {"judge", test_judge, G_N_ELEMENTS(judge_cases)}, {NULL}};
+        {"judge", test_judge, G_N_ELEMENTS(judge_cases)},
+        {"outcome", test_outcome, G_N_ELEMENTS(outcome_cases)},
+        {NULL}};
     return support_run("load_judge", tests);
 }
