Bound the notice of a drain by the time that a stopped process has

Cause: the notice of 2.8 s was the template's, whatever the platform's bound; with a grace of 3 s it would have taken more than the drain limit and left nothing for work in hand. It is at most 55 percent of the limit now. With today's bounds (grace 6 s) nothing changes.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -260,14 +260,17 @@
     json_int_t ratio_percent;
     json_int_t shared_reserve;
     int64_t drain_limit_ms;
+    int64_t drain_notice_ms;
 } bound_case_t;
 
 static const bound_case_t bound_cases[] = {
-    {"[]", 14, 0, 9000},
+    {"[]", 14, 0, 9000, 2800},
     {"[\"RetryBudgetRatio=0.2\", \"BudgetSlack=50\", \"GraceS=6\"]", 18, 48,
-     5150},
-    {"[\"BudgetSlackX=9\", \"BudgetSlack=x\", 4, \"GraceS=0.5\"]", 14, 0, 0},
-    {"[\"BudgetSlack=1\", \"RetryBudgetRatio=0.01\"]", 0, 1, 9000},
+     5150, 2800},
+    {"[\"GraceS=3\"]", 14, 0, 2150, 1182},
+    {"[\"BudgetSlackX=9\", \"BudgetSlack=x\", 4, \"GraceS=0.5\"]", 14, 0, 0,
+     0},
+    {"[\"BudgetSlack=1\", \"RetryBudgetRatio=0.01\"]", 0, 1, 9000, 2800},
 };
 
 START_TEST(test_bounds)
@@ -277,6 +280,7 @@
         .bounds = json_loads(row->bounds, 0, NULL),
         .policy = json_loads("{\"retry\": {\"ratio_percent\": 14}}", 0, NULL),
         .drain_limit_ms = 9000,
+        .drain_notice_ms = 2800,
     };
     const bv_dialect_t *dialect = bv_platform_dialect(&bounded);
     bv_findings_t *findings = bv_findings_create();
@@ -293,6 +297,7 @@
         json_integer_value(json_object_get(retry, "shared_reserve")),
         row->shared_reserve);
     ck_assert_int_eq(bounded.drain_limit_ms, row->drain_limit_ms);
+    ck_assert_int_eq(bounded.drain_notice_ms, row->drain_notice_ms);
     json_decref(bundle);
     json_decref(value);
     bv_findings_destroy(findings);
