Judge of the load: a try that no node took adds nothing to what was known

Only "unknown" was kept over such a try before. A node that says "not-run" after any word before is counted as before (test cases).

--- a/load/judge.c
+++ b/load/judge.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 bv_outcome_t
-load_outcome(bool taken, bv_outcome_t outcome, bool in_doubt)
+load_outcome(bool taken, bv_outcome_t outcome, bv_outcome_t known)
 {
-    return !taken && in_doubt ? BV_OUTCOME_UNKNOWN : outcome;
+    return taken ? outcome : known;
 }
 
 /* Executions of POST requests, counted by "service key". */
--- a/load/load.h
+++ b/load/load.h
@@ -103,11 +103,11 @@
 } load_verdict_t;
 
 /*
- * The outcome of the last try under a key. A try that no node took says
- * nothing of one before it that was left in doubt; a node that says "not-run"
- * speaks of the key.
+ * What is known of a key after one more try. A try that no node took adds
+ * nothing to what was `known`; a node that says "not-run" speaks of the key.
  */
-bv_outcome_t load_outcome(bool taken, bv_outcome_t outcome, bool in_doubt);
+bv_outcome_t load_outcome(bool taken, bv_outcome_t outcome,
+                          bv_outcome_t known);
 
 /*
  * Reads every file in `directory` as a target's record and compares it with
--- a/load/run.c
+++ b/load/run.c
@@ -18,8 +18,8 @@
     uint64_t number;
     int64_t scheduled_us;
     uint32_t retries_left;
-    /* A try with its key ended without a word on whether it ran. */
-    bool in_doubt;
+    /* What earlier tries with its key left known. */
+    bv_outcome_t known;
     char *path;
     char *key;
     char *customer;
@@ -94,6 +94,7 @@
                (size_t)kind->body_bytes);
         request->body = g_bytes_new_take(body, (gsize)kind->body_bytes);
     }
+    request->known = BV_OUTCOME_NOT_RUN;
     request->not_run_keys = g_ptr_array_new_with_free_func(g_free);
     return request;
 }
@@ -227,9 +228,10 @@
     request_t *request = answer->request;
     bool good = answer->right;
     answer->outcome = load_outcome(answer->result != BV_HTTP_NOT_SENT,
-                                   answer->outcome, request->in_doubt);
-    request->in_doubt |=
-        request->key != NULL && answer->outcome == BV_OUTCOME_UNKNOWN;
+                                   answer->outcome, request->known);
+    if (request->key != NULL) {
+        request->known = answer->outcome;
+    }
     if (answer->outcome == BV_OUTCOME_NOT_RUN && answer->key != NULL &&
         request->key == NULL) {
         g_ptr_array_add(request->not_run_keys, g_strdup(answer->key));
--- a/tests/test_load_judge.c
+++ b/tests/test_load_judge.c
@@ -90,22 +90,23 @@
 typedef struct {
     bool taken;
     bv_outcome_t outcome;
-    bool in_doubt;
+    bv_outcome_t known;
     bv_outcome_t expected;
 } outcome_case_t;
 
 static const outcome_case_t outcome_cases[] = {
-    {true, BV_OUTCOME_NOT_RUN, false, BV_OUTCOME_NOT_RUN},
-    {true, BV_OUTCOME_NOT_RUN, true, BV_OUTCOME_NOT_RUN},
-    {true, BV_OUTCOME_RAN, true, BV_OUTCOME_RAN},
-    {false, BV_OUTCOME_NOT_RUN, false, BV_OUTCOME_NOT_RUN},
-    {false, BV_OUTCOME_NOT_RUN, true, BV_OUTCOME_UNKNOWN},
+    {true, BV_OUTCOME_NOT_RUN, BV_OUTCOME_NOT_RUN, BV_OUTCOME_NOT_RUN},
+    {true, BV_OUTCOME_NOT_RUN, BV_OUTCOME_UNKNOWN, BV_OUTCOME_NOT_RUN},
+    {true, BV_OUTCOME_RAN, BV_OUTCOME_UNKNOWN, BV_OUTCOME_RAN},
+    {false, BV_OUTCOME_NOT_RUN, BV_OUTCOME_NOT_RUN, BV_OUTCOME_NOT_RUN},
+    {false, BV_OUTCOME_NOT_RUN, BV_OUTCOME_UNKNOWN, BV_OUTCOME_UNKNOWN},
+    {false, BV_OUTCOME_NOT_RUN, BV_OUTCOME_RAN, BV_OUTCOME_RAN},
 };
 
 START_TEST(test_outcome)
 {
     const outcome_case_t *row = &outcome_cases[_i];
-    ck_assert_int_eq(load_outcome(row->taken, row->outcome, row->in_doubt),
+    ck_assert_int_eq(load_outcome(row->taken, row->outcome, row->known),
                      row->expected);
 }
 END_TEST
