--- a/include/berylvane/peer/link.h
+++ b/include/berylvane/peer/link.h
@@ -31,6 +31,8 @@
 /* Binds; NULL and a GError when that fails. All calls are of one thread. */
 bv_link_t *bv_link_start(apr_pool_t *pool, const bv_link_options_t *options,
                          GError **error);
+
+/* Later messages are dropped: events of other threads outlive the link. */
 void bv_link_stop(bv_link_t *link);
 
 /* Readable when bv_link_run() has something to do. */
--- a/peer/link.c
+++ b/peer/link.c
@@ -373,7 +373,7 @@
 void
 bv_link_stop(bv_link_t *link)
 {
-    g_hash_table_destroy(link->connections);
+    g_clear_pointer(&link->connections, g_hash_table_destroy);
     g_queue_clear_full(&link->retired, free_connection);
     g_ptr_array_unref(link->used);
     zmq_close(link->router);
@@ -386,7 +386,7 @@
              uint16_t port, bv_peer_message_t *message)
 {
     command_t command = {member, address, port, message};
-    bool sent = send_message(link, &command);
+    bool sent = link->connections != NULL && send_message(link, &command);
     bv_peer_message_destroy(message);
     return sent;
 }
@@ -397,6 +397,7 @@
     gsize size;
     const void *route = g_bytes_get_data(message->route, &size);
     bool sent =
+        link->connections != NULL &&
         zmq_send(link->router, route, size, ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
         send_body(link->router, message);
     link->router_used = true;
@@ -407,5 +408,7 @@
 void
 bv_link_forget(bv_link_t *link, const char *member)
 {
-    g_hash_table_remove(link->connections, member);
+    if (link->connections != NULL) {
+        g_hash_table_remove(link->connections, member);
+    }
 }
