A ring's descriptor is closed with its pool

Ruled out: a kill from outside (two soaks ended 43 s apart), memory. A node makes its rings once; berylvanectl watch would have got there too. Test: ends_with_pool of test_ring failed before.

--- a/common/ring.c
+++ b/common/ring.c
@@ -15,6 +15,14 @@
     gint signalled;
 };
 
+static apr_status_t
+close_event(void *data)
+{
+    bv_ring_t *ring = data;
+    close(ring->event_fd);
+    return APR_SUCCESS;
+}
+
 bv_ring_t *
 bv_ring_create(apr_pool_t *pool, uint32_t capacity)
 {
@@ -26,6 +34,7 @@
     if (ring->event_fd < 0) {
         abort();
     }
+    apr_pool_cleanup_register(pool, ring, close_event, apr_pool_cleanup_null);
     return ring;
 }
 
--- a/include/berylvane/common/ring.h
+++ b/include/berylvane/common/ring.h
@@ -13,7 +13,10 @@
  */
 typedef struct bv_ring bv_ring_t;
 
-/* Creates a ring of `capacity` entries; aborts when resources are gone. */
+/*
+ * Creates a ring of `capacity` entries that ends with the pool; aborts when
+ * resources are gone.
+ */
 bv_ring_t *bv_ring_create(apr_pool_t *pool, uint32_t capacity);
 
 /* Pushes `item`; false, with nothing taken, when the ring is full. */
--- a/tests/test_ring.c
+++ b/tests/test_ring.c
@@ -3,6 +3,7 @@
 
 #include <apr_general.h>
 #include <apr_thread_proc.h>
+#include <fcntl.h>
 
 #define ITEMS 20000
 #define CAPACITY 64
@@ -54,11 +55,24 @@
 }
 END_TEST
 
+START_TEST(test_ends_with_pool)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    int fd = bv_ring_fd(bv_ring_create(pool, CAPACITY));
+    ck_assert_int_ne(fcntl(fd, F_GETFD), -1);
+    apr_pool_destroy(pool);
+    ck_assert_int_eq(fcntl(fd, F_GETFD), -1);
+}
+END_TEST
+
 int
 main(void)
 {
     apr_initialize();
-    const support_test_t tests[] = {
-        {"order", test_order, 1}, {"full", test_full, 1}, {NULL}};
+    const support_test_t tests[] = {{"order", test_order, 1},
+                                    {"full", test_full, 1},
+                                    {"ends_with_pool", test_ends_with_pool, 1},
+                                    {NULL}};
     return support_run("ring", tests);
 }
