The load tool ends with the deployment that started it

A soak that had aborted left its load tool running, the ports were free again and the next deployment took them.

--- a/standin/cluster/tools.c
+++ b/standin/cluster/tools.c
@@ -3,8 +3,10 @@
 #include "berylvane/common/clock.h"
 
 #include <errno.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #define CALL_TIMEOUT_US (20 * BV_US_PER_S)
@@ -39,6 +41,14 @@
     return good;
 }
 
+/* Runs in the child: nothing is left of it when its starter ends. */
+static void
+end_with_starter(gpointer data)
+{
+    (void)data;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static bool
 start_tool(const cluster_t *cluster, const char *program, GPtrArray *arguments,
            GPid *pid)
@@ -50,7 +60,7 @@
     bool good =
         g_spawn_async(NULL, (char **)arguments->pdata, NULL,
                       G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_CHILD_INHERITS_STDIN,
-                      NULL, NULL, pid, &error);
+                      end_with_starter, NULL, pid, &error);
     if (!good) {
         g_printerr("%s\n", error->message);
         g_error_free(error);
