Move the decisions of the configuration watch into core/

When the store is queried again is decided in a file of the node that also sends, so no test can play it with simulated time.

Change: core/config_watch decides, node/config_watch.c sends and receives.

--- /dev/null
+++ b/include/berylvane/core/config_watch.h
@@ -0,0 +1,68 @@
+#ifndef BERYLVANE_CORE_CONFIG_WATCH_H
+#define BERYLVANE_CORE_CONFIG_WATCH_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * config_watch - decides when and how a node queries the store for the row
+ * that holds the configuration
+ *
+ * The row is read first. Then its table is watched: the store holds a watch
+ * until the table changes or the time of the watch ends. A query that failed
+ * is repeated after a pause that grows with each failure.
+ */
+typedef enum {
+    /* Read the row. */
+    BV_CONFIG_QUERY_READ,
+    /* Watch the row's table for changes after a version. */
+    BV_CONFIG_QUERY_WATCH,
+} bv_config_query_kind_t;
+
+typedef struct {
+    bv_config_query_kind_t kind;
+    /* For a watch: the version of the last change that is known. */
+    int64_t version;
+    /* For a watch: how long the store may hold it. */
+    int64_t wait_us;
+} bv_config_query_t;
+
+typedef enum {
+    BV_CONFIG_ANSWER_OK,
+    /* The store no longer keeps the changes since the watch's version. */
+    BV_CONFIG_ANSWER_HISTORY_GONE,
+    /* The query was refused, or got no valid answer. */
+    BV_CONFIG_ANSWER_FAILED,
+} bv_config_answer_t;
+
+/* State of the watch; starts as zeros. */
+typedef struct {
+    /* When the next query is due. */
+    int64_t due_us;
+    /* Current pause after a failed query; doubles with each failure. */
+    int64_t pause_us;
+    /*
+     * Version of the table up to which changes have been received; at 0 the
+     * row is read instead of watched.
+     */
+    int64_t known_version;
+    bool is_querying;
+} bv_config_watch_t;
+
+/*
+ * Sets `*query` to the query to send now. Returns false if none is due, or if
+ * the last one has not ended.
+ */
+bool bv_config_watch_next(bv_config_watch_t *watch, int64_t now_us,
+                          GRand *random, bv_config_query_t *query);
+
+/*
+ * Handles the end of the query. `version` is the store's newest version, from
+ * an answer that is BV_CONFIG_ANSWER_OK.
+ */
+void bv_config_watch_handle_answer(bv_config_watch_t *watch, int64_t now_us,
+                                   GRand *random, bv_config_answer_t answer,
+                                   int64_t version);
+
+#endif
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -9,6 +9,7 @@
 #include "berylvane/core/claim.h"
 #include "berylvane/core/config.h"
 #include "berylvane/core/config_fetcher.h"
+#include "berylvane/core/config_watch.h"
 #include "berylvane/core/credit.h"
 #include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
@@ -86,20 +87,6 @@
     int64_t last_refusal_us;
 } bv_drain_t;
 
-/* State of the watch on the table row that holds the configuration. */
-typedef struct {
-    /* When the next request to the store is due. */
-    int64_t due_us;
-    /* Current pause after a failed request; doubles with each failure. */
-    int64_t pause_us;
-    /*
-     * Table version up to which changes have been received; at 0 the row is
-     * read instead of watched.
-     */
-    int64_t known_version;
-    bool is_requesting;
-} bv_config_watch_t;
-
 /*
  * Schedule of the rendezvous: when this node's row is renewed, when the rows
  * of other nodes are read, and when seeds are contacted.
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -1,23 +1,11 @@
-#include "berylvane/common/clock.h"
-#include "berylvane/common/log.h"
+#include "berylvane/core/config_watch.h"
+
 #include "berylvane/node/node.h"
 
 #include <string.h>
 
-/*
- * Bounds of the time for which the table service holds one watch request. A
- * connection that fails silently is detected only after this time. Each node
- * draws its time at random, so that some nodes detect the failure early and
- * pass a new configuration on to the others.
- */
-#define WATCH_WAIT_MIN_US (4 * BV_US_PER_S)
-#define WATCH_WAIT_MAX_US (20 * BV_US_PER_S)
-#define RETRY_PAUSE_MIN_US (BV_US_PER_S / 5)
-#define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
-
 typedef struct {
-    bv_node_t *node;
-    bv_store_result_t result;
+    bv_config_answer_t answer;
     json_t *json;
 } watch_answer_t;
 
@@ -36,67 +24,51 @@
     }
 }
 
-/* Schedules the next request after a jittered, exponentially growing pause. */
-static void
-schedule_retry(bv_node_t *node)
-{
-    bv_config_watch_t *watch = &node->config_watch;
-    watch->pause_us =
-        CLAMP(watch->pause_us * 2, RETRY_PAUSE_MIN_US, RETRY_PAUSE_MAX_US);
-    watch->due_us =
-        node->now_us + (int64_t)((double)watch->pause_us *
-                                 g_rand_double_range(node->random, 0.5, 1));
-}
-
 static void
 handle_answer(bv_node_t *node, void *data)
 {
     watch_answer_t *answer = data;
-    bv_config_watch_t *watch = &node->config_watch;
-    watch->is_requesting = false;
-    if (answer->result == BV_STORE_OK && answer->json != NULL) {
-        watch->known_version =
-            json_integer_value(json_object_get(answer->json, "version"));
-        watch->pause_us = 0;
-        watch->due_us = node->now_us;
+    int64_t version =
+        json_integer_value(json_object_get(answer->json, "version"));
+    bv_config_watch_handle_answer(&node->config_watch, node->now_us,
+                                  node->random, answer->answer, version);
+    if (answer->answer == BV_CONFIG_ANSWER_OK) {
         handle_rows(node, json_object_get(answer->json, "rows"));
     }
-    else {
-        if (answer->result == BV_STORE_ABSENT) {
-            /*
-             * The table no longer holds all changes since this version, so the
-             * row itself is read next.
-             */
-            watch->known_version = 0;
-        }
-        schedule_retry(node);
-    }
     json_decref(answer->json);
     g_free(answer);
 }
 
+static bv_config_answer_t
+classify(const bv_store_answer_t *answer)
+{
+    if (answer->result == BV_STORE_ABSENT) {
+        return BV_CONFIG_ANSWER_HISTORY_GONE;
+    }
+    return answer->result == BV_STORE_OK && answer->json != NULL
+               ? BV_CONFIG_ANSWER_OK
+               : BV_CONFIG_ANSWER_FAILED;
+}
+
 static void
 on_answer(void *context, bv_store_answer_t *store_answer)
 {
     watch_answer_t *answer = g_new0(watch_answer_t, 1);
-    answer->result = store_answer->result;
+    answer->answer = classify(store_answer);
     answer->json = bv_store_take_json(store_answer);
     bv_node_post_blocking(context, handle_answer, answer);
 }
 
 static bool
-send_request(bv_node_t *node)
+send_query(bv_node_t *node, const bv_config_query_t *query)
 {
     const char *key = node->dialect->config_source->key;
-    if (node->config_watch.known_version == 0) {
+    if (query->kind == BV_CONFIG_QUERY_READ) {
         return bv_store_read(node->store, key, on_answer, node);
     }
     char *table = g_strndup(key, strcspn(key, "/"));
-    int64_t wait_us = (int64_t)g_rand_double_range(
-        node->random, WATCH_WAIT_MIN_US, WATCH_WAIT_MAX_US);
-    bool is_sent =
-        bv_store_watch(node->store, table, node->config_watch.known_version,
-                       wait_us, on_answer, node);
+    bool is_sent = bv_store_watch(node->store, table, query->version,
+                                  query->wait_us, on_answer, node);
     g_free(table);
     return is_sent;
 }
@@ -104,12 +76,12 @@
 void
 bv_config_watch_tick(bv_node_t *node)
 {
-    bv_config_watch_t *watch = &node->config_watch;
-    if (watch->is_requesting || node->now_us < watch->due_us) {
-        return;
-    }
-    watch->is_requesting = send_request(node);
-    if (!watch->is_requesting) {
-        schedule_retry(node);
+    bv_config_query_t query;
+    if (bv_config_watch_next(&node->config_watch, node->now_us, node->random,
+                             &query) &&
+        !send_query(node, &query)) {
+        bv_config_watch_handle_answer(&node->config_watch, node->now_us,
+                                      node->random, BV_CONFIG_ANSWER_FAILED,
+                                      0);
     }
 }
