Log how a node learns of a configuration, and how long ago

Callers saw requests handled by an old configuration for up to 25 s; the nodes logged nothing between two adoptions.

Cause: under trace. The logs could not tell a watch that is not given up in time from gossip that stops or from a body that does not come.

No decision changes.

--- a/core/config_fetcher.c
+++ b/core/config_fetcher.c
@@ -73,6 +73,12 @@
     return &fetcher->in_force;
 }
 
+const bv_config_version_t *
+bv_config_fetcher_wanted(const bv_config_fetcher_t *fetcher)
+{
+    return &fetcher->wanted;
+}
+
 static bool
 is_same_version(const bv_config_version_t *left,
                 const bv_config_version_t *right)
--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -21,6 +21,7 @@
         return false;
     }
     watch->is_querying = true;
+    watch->sent_us = now_us;
     *query = (bv_config_query_t){.kind = BV_CONFIG_QUERY_READ};
     if (watch->known_version != 0) {
         query->kind = BV_CONFIG_QUERY_WATCH;
@@ -51,10 +52,19 @@
         watch->known_version = version;
         watch->pause_us = 0;
         watch->due_us = now_us;
+        watch->answered_us = now_us;
+        watch->failures = 0;
         return;
     }
+    watch->failures++;
     if (answer == BV_CONFIG_ANSWER_HISTORY_GONE) {
         watch->known_version = 0;
     }
     schedule_retry(watch, now_us, random);
 }
+
+int64_t
+bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us)
+{
+    return watch->answered_us == 0 ? -1 : now_us - watch->answered_us;
+}
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -63,6 +63,10 @@
     X(PLATFORM_READS, "platform_reads", "table and object reads")             \
     X(PLATFORM_WRITES, "platform_writes", "table and object writes")          \
     X(PLATFORM_ERRORS, "platform_errors", "platform calls without answer")    \
+    X(CONFIG_QUERIES_FAILED, "config_queries_failed",                         \
+      "queries for the configuration's row without an answer")                \
+    X(CONFIG_REQUESTS, "config_requests",                                     \
+      "requests for the body of a configuration")                             \
     X(CONFIG_ADOPTED, "config_adopted", "configurations put in force")        \
     X(CONFIG_REJECTED, "config_rejected", "configurations not adopted")       \
     X(CONFIG_CONFLICTS, "config_conflicts", "two digests of one generation")  \
--- a/include/berylvane/core/config_fetcher.h
+++ b/include/berylvane/core/config_fetcher.h
@@ -97,6 +97,13 @@
 const bv_config_version_t *
 bv_config_fetcher_in_force(const bv_config_fetcher_t *fetcher);
 
+/*
+ * Returns the newest version known, which is fetched until it is in force;
+ * generation 0 before the first report.
+ */
+const bv_config_version_t *
+bv_config_fetcher_wanted(const bv_config_fetcher_t *fetcher);
+
 /* Returns the digest of a bundle, as versions hold it. */
 uint64_t bv_config_bundle_digest(GBytes *body);
 
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -48,6 +48,12 @@
      */
     int64_t known_version;
     bool is_querying;
+    /* When the open query was sent. */
+    int64_t sent_us;
+    /* When the last answer came; 0 before the first one. */
+    int64_t answered_us;
+    /* Queries that failed since then. */
+    uint32_t failures;
 } bv_config_watch_t;
 
 /*
@@ -65,4 +71,10 @@
                                    GRand *random, bv_config_answer_t answer,
                                    int64_t version);
 
+/*
+ * Returns the time since the last answer of the store, until which its word on
+ * the configuration is known; -1 before the first answer.
+ */
+int64_t bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us);
+
 #endif
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -135,6 +135,8 @@
     GBytes *bundle;
     bv_config_fetcher_t *config_fetcher;
     bv_config_watch_t config_watch;
+    /* When this node first heard of the newest configuration it knows. */
+    int64_t config_heard_us;
     bv_rendezvous_t rendezvous;
 
     bv_credits_t *credits;
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -1,5 +1,7 @@
 #include "berylvane/core/config_watch.h"
 
+#include "berylvane/common/counters.h"
+#include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
@@ -9,6 +11,12 @@
     json_t *json;
 } watch_answer_t;
 
+static const char *const answer_names[] = {
+    [BV_CONFIG_ANSWER_OK] = "ok",
+    [BV_CONFIG_ANSWER_HISTORY_GONE] = "history_gone",
+    [BV_CONFIG_ANSWER_FAILED] = "failed",
+};
+
 static void
 handle_rows(bv_node_t *node, const json_t *rows)
 {
@@ -24,12 +32,33 @@
     }
 }
 
+/* Logs a query that failed, and the first answer after such queries. */
+static void
+report_end(const bv_node_t *node, bv_config_answer_t answer)
+{
+    const bv_config_watch_t *watch = &node->config_watch;
+    bool is_ok = answer == BV_CONFIG_ANSWER_OK;
+    if (is_ok && watch->failures == 0) {
+        return;
+    }
+    if (!is_ok) {
+        bv_counter_add(BV_COUNT_CONFIG_QUERIES_FAILED, 1);
+    }
+    bv_log(is_ok ? BV_LOG_INFO : BV_LOG_WARN,
+           is_ok ? "config_source_regained" : "config_query_failed", "reason",
+           answer_names[answer], "version", BV_NUM(watch->known_version),
+           "took_us", BV_NUM(node->now_us - watch->sent_us), "watch_age_us",
+           BV_NUM(bv_config_watch_age_us(watch, node->now_us)), "failures",
+           BV_NUM(watch->failures), NULL);
+}
+
 static void
 handle_answer(bv_node_t *node, void *data)
 {
     watch_answer_t *answer = data;
     int64_t version =
         json_integer_value(json_object_get(answer->json, "version"));
+    report_end(node, answer->answer);
     bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                   node->random, answer->answer, version);
     if (answer->answer == BV_CONFIG_ANSWER_OK) {
--- a/node/configs.c
+++ b/node/configs.c
@@ -26,6 +26,12 @@
     g_free(fetched);
 }
 
+static uint64_t
+in_force_generation(const bv_node_t *node)
+{
+    return bv_config_fetcher_in_force(node->config_fetcher)->generation;
+}
+
 static void
 report_rejection(const char *problems, uint64_t generation)
 {
@@ -66,7 +72,10 @@
     };
     bv_node_record_decision(node, &decision);
     bv_log(BV_LOG_INFO, "config_adopted", "generation",
-           BV_NUM((gint64)config->generation), NULL);
+           BV_NUM((gint64)config->generation), "heard_age_us",
+           BV_NUM(node->now_us - node->config_heard_us), "watch_age_us",
+           BV_NUM(bv_config_watch_age_us(&node->config_watch, node->now_us)),
+           NULL);
 }
 
 static bool
@@ -111,13 +120,25 @@
     return is_adopted;
 }
 
+/* Logs where a bundle was requested, which explains a late adoption. */
+static void
+report_request(const char *source, uint64_t generation, bool is_sent)
+{
+    bv_counter_add(BV_COUNT_CONFIG_REQUESTS, 1);
+    bv_log(BV_LOG_INFO, "config_requested", "generation",
+           BV_NUM((gint64)generation), "source", source, "sent",
+           is_sent ? "yes" : "no", NULL);
+}
+
 static bool
 request_from_member(void *context, const char *member, uint64_t generation)
 {
     bv_peer_message_t *message =
         bv_peer_message_create(BV_PEER_CONFIG_REQUEST);
     message->generation = generation;
-    return bv_peers_send(context, member, message);
+    bool is_sent = bv_peers_send(context, member, message);
+    report_request(member, generation, is_sent);
+    return is_sent;
 }
 
 static void
@@ -154,7 +175,10 @@
     fetched->node = node;
     fetched->version = *version;
     bv_head_set_bundle(&head, version->generation, version->digest);
-    if (!bv_store_get_object(node->store, head.object, on_object, fetched)) {
+    bool is_sent =
+        bv_store_get_object(node->store, head.object, on_object, fetched);
+    report_request("(object store)", version->generation, is_sent);
+    if (!is_sent) {
         free_fetched(fetched);
     }
 }
@@ -243,6 +267,14 @@
 bv_configs_handle_version(bv_node_t *node, const bv_config_version_t *version,
                           const char *member)
 {
+    uint64_t wanted =
+        bv_config_fetcher_wanted(node->config_fetcher)->generation;
+    if (version->generation > wanted) {
+        node->config_heard_us = node->now_us;
+        bv_log(BV_LOG_INFO, "config_heard", "generation",
+               BV_NUM((gint64)version->generation), "from", member, "in_force",
+               BV_NUM((gint64)in_force_generation(node)), NULL);
+    }
     bv_config_fetcher_handle_version(node->config_fetcher, node->now_us,
                                      version, member);
 }
@@ -263,12 +295,10 @@
         bv_config_fetcher_handle_head(node->config_fetcher, node->now_us,
                                       &version);
     }
-    uint64_t previous_generation =
-        bv_config_fetcher_in_force(node->config_fetcher)->generation;
+    uint64_t previous_generation = in_force_generation(node);
     bool is_accepted = bv_config_fetcher_handle_bundle(
         node->config_fetcher, node->now_us, generation, body);
-    if (bv_config_fetcher_in_force(node->config_fetcher)->generation >
-        previous_generation) {
+    if (in_force_generation(node) > previous_generation) {
         bv_membership_push_self(node->membership);
     }
     return is_accepted;
