Test that a change is found after connections fell silent; it fails

Callers saw requests handled by an old configuration for up to 25 s.

Cause: a watch is given up 4 to 20 s and 2 s more after it was sent, and the next one is as long and may go over a kept connection that is silent too.

Evidence: in simulated time, no node of groups of 6 to 1,600 learns within 2.5 s of a change made after all connections fell silent: 9 of 9 cases fail. That each node finds it by itself in the end passes, 9 of 9.

Change: tests/test_config_watch; a query states the time limit of its answer and whether it needs a new connection, for now always the limit as before and never one.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -10,6 +10,7 @@
  */
 #define WATCH_WAIT_MIN_US (4 * BV_US_PER_S)
 #define WATCH_WAIT_MAX_US (20 * BV_US_PER_S)
+#define QUERY_TIMEOUT_US (2 * BV_US_PER_S)
 #define RETRY_PAUSE_MIN_US (BV_US_PER_S / 5)
 #define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
 
@@ -22,7 +23,10 @@
     }
     watch->is_querying = true;
     watch->sent_us = now_us;
-    *query = (bv_config_query_t){.kind = BV_CONFIG_QUERY_READ};
+    *query = (bv_config_query_t){
+        .kind = BV_CONFIG_QUERY_READ,
+        .timeout_us = QUERY_TIMEOUT_US,
+    };
     if (watch->known_version != 0) {
         query->kind = BV_CONFIG_QUERY_WATCH;
         query->version = watch->known_version;
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -26,6 +26,10 @@
     int64_t version;
     /* For a watch: how long the store may hold it. */
     int64_t wait_us;
+    /* Time limit of the answer, beyond `wait_us`. */
+    int64_t timeout_us;
+    /* Whether to use a new connection instead of a kept one. */
+    bool uses_fresh_connection;
 } bv_config_query_t;
 
 typedef enum {
--- /dev/null
+++ b/tests/test_config_watch.c
@@ -0,0 +1,222 @@
+#include "berylvane/core/config_watch.h"
+
+#include "support.h"
+
+#include "berylvane/common/clock.h"
+
+#include <string.h>
+
+/*
+ * Runs the watches of a group of nodes in simulated time against a store whose
+ * open connections fall silent, while new ones work. Guards against changes
+ * that no node learns of in time because every one waits for a silent
+ * connection.
+ */
+#define STEP_US (5 * BV_US_PER_MS)
+#define ROUND_TRIP_US (60 * BV_US_PER_MS)
+#define SETTLE_US (60 * BV_US_PER_S)
+/* Connections that a node's client keeps, beside that of the watch. */
+#define KEPT_CONNECTIONS 2
+/* ConfigApplyMs: from the acknowledgement until a change is in force. */
+#define APPLY_US (2500 * BV_US_PER_MS)
+
+typedef struct {
+    bv_config_watch_t watch;
+    bv_config_query_t query;
+    bool is_querying;
+    bool is_over_silent_connection;
+    int64_t answer_due_us;
+    /* Kept connections that fell silent and were not closed yet. */
+    uint32_t silent_connections;
+    int64_t version;
+    uint64_t queries;
+} node_t;
+
+typedef struct {
+    GRand *random;
+    node_t *nodes;
+    uint32_t node_count;
+    int64_t now_us;
+    int64_t version;
+    int64_t changed_us;
+} group_t;
+
+static group_t *
+group_create(uint32_t node_count, guint32 seed)
+{
+    group_t *group = g_new0(group_t, 1);
+    group->random = g_rand_new_with_seed(seed);
+    group->nodes = g_new0(node_t, node_count);
+    group->node_count = node_count;
+    group->version = 1;
+    group->now_us = BV_US_PER_S;
+    return group;
+}
+
+static void
+group_destroy(group_t *group)
+{
+    g_rand_free(group->random);
+    g_free(group->nodes);
+    g_free(group);
+}
+
+static void
+send_query(const group_t *group, node_t *node)
+{
+    node->is_querying = true;
+    node->queries++;
+    node->is_over_silent_connection =
+        node->silent_connections > 0 && !node->query.uses_fresh_connection;
+    node->answer_due_us = group->now_us + ROUND_TRIP_US;
+    if (node->query.kind == BV_CONFIG_QUERY_WATCH) {
+        node->answer_due_us += node->query.wait_us;
+    }
+    if (node->is_over_silent_connection) {
+        node->answer_due_us += node->query.timeout_us - ROUND_TRIP_US;
+    }
+}
+
+static void
+end_query(const group_t *group, node_t *node)
+{
+    bool is_silent = node->is_over_silent_connection;
+    node->is_querying = false;
+    if (is_silent) {
+        node->silent_connections--;
+    }
+    else {
+        node->version = group->version;
+    }
+    bv_config_watch_handle_answer(&node->watch, group->now_us, group->random,
+                                  is_silent ? BV_CONFIG_ANSWER_FAILED
+                                            : BV_CONFIG_ANSWER_OK,
+                                  node->version);
+}
+
+static bool
+is_answered(const group_t *group, const node_t *node)
+{
+    bool has_changes = node->query.kind == BV_CONFIG_QUERY_WATCH &&
+                       node->query.version < group->version &&
+                       group->now_us >= group->changed_us + ROUND_TRIP_US;
+    return group->now_us >= node->answer_due_us ||
+           (has_changes && !node->is_over_silent_connection);
+}
+
+static void
+group_step(group_t *group)
+{
+    group->now_us += STEP_US;
+    for (uint32_t i = 0; i < group->node_count; i++) {
+        node_t *node = &group->nodes[i];
+        if (node->is_querying && is_answered(group, node)) {
+            end_query(group, node);
+        }
+        if (bv_config_watch_next(&node->watch, group->now_us, group->random,
+                                 &node->query)) {
+            send_query(group, node);
+        }
+    }
+}
+
+static void
+group_run(group_t *group, int64_t duration_us)
+{
+    int64_t end_us = group->now_us + duration_us;
+    while (group->now_us < end_us) {
+        group_step(group);
+    }
+}
+
+static void
+silence_connections(group_t *group)
+{
+    for (uint32_t i = 0; i < group->node_count; i++) {
+        node_t *node = &group->nodes[i];
+        node->silent_connections = KEPT_CONNECTIONS;
+        if (node->is_querying) {
+            node->silent_connections++;
+            node->is_over_silent_connection = true;
+            node->answer_due_us += node->query.timeout_us;
+        }
+    }
+}
+
+static void
+change_config(group_t *group)
+{
+    group->version++;
+    group->changed_us = group->now_us;
+}
+
+static uint32_t
+count_informed(const group_t *group)
+{
+    uint32_t informed = 0;
+    for (uint32_t i = 0; i < group->node_count; i++) {
+        informed += group->nodes[i].version == group->version;
+    }
+    return informed;
+}
+
+static const struct {
+    uint32_t nodes;
+    guint32 seed;
+    int64_t change_after_us;
+} silence_cases[] = {
+    {24, 1, 0},
+    {24, 2, 100 * BV_US_PER_MS},
+    {24, 3, BV_US_PER_S},
+    {24, 4, 10 * BV_US_PER_S},
+    {6, 5, 0},
+    {6, 6, BV_US_PER_S},
+    {100, 7, 0},
+    {100, 8, 3 * BV_US_PER_S},
+    {1600, 9, 0},
+};
+
+/*
+ * All connections fall silent. One node at least must learn of the next change
+ * within the time in which it has to be in force; gossip tells the others.
+ */
+START_TEST(test_change_found_after_silence)
+{
+    group_t *group =
+        group_create(silence_cases[_i].nodes, silence_cases[_i].seed);
+    group_run(group, SETTLE_US);
+    silence_connections(group);
+    group_run(group, silence_cases[_i].change_after_us);
+    change_config(group);
+    group_run(group, APPLY_US);
+    ck_assert_uint_ge(count_informed(group), 1);
+    group_destroy(group);
+}
+END_TEST
+
+/* A node that no other node tells must find the change by itself. */
+START_TEST(test_every_node_recovers)
+{
+    group_t *group =
+        group_create(silence_cases[_i].nodes, silence_cases[_i].seed);
+    group_run(group, SETTLE_US);
+    silence_connections(group);
+    change_config(group);
+    group_run(group, SETTLE_US + SETTLE_US);
+    ck_assert_uint_eq(count_informed(group), group->node_count);
+    group_destroy(group);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const support_test_t tests[] = {
+        {"change_found_after_silence", test_change_found_after_silence,
+         G_N_ELEMENTS(silence_cases)},
+        {"every_node_recovers", test_every_node_recovers,
+         G_N_ELEMENTS(silence_cases)},
+        {NULL}};
+    support_parse_arguments(argc, argv);
+    return support_run("config_watch", tests);
+}
