Give up a silent watch in time, and never query over a kept connection

Callers saw requests handled by an old configuration, and 404 for routes that were there, up to 25 s after the change was acknowledged (CONFIG, DENIED).

Cause: half-open connections. A watch of the store was given up only 2 s after its 4 to 20 s; the next call was as long a watch, and libcurl sent it over the next kept connection, which was silent too, so that a node needed one round for each kept connection before it reached the store.

Change: each query has a connection of its own; a failed query is followed by a read of the row, which is answered at once; an answer has half a second beyond the time of the watch, doubled by failures and halved by answers, so that a slow store is still read; watches wait 2 s to a quarter second for each node (3 to 20 s), so that some node of any group notices soon and a large group does not query more often.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -5,35 +5,58 @@
 /*
  * Bounds of the time for which the store holds one watch. A connection that
  * fails silently is detected only after this time. Each node draws its time at
- * random, so that some nodes detect the failure early and pass a new
- * configuration on to the others.
+ * random, and the largest one grows with the group, so that some nodes of any
+ * group detect the failure early and the store is not queried more often than
+ * that needs.
  */
-#define WATCH_WAIT_MIN_US (4 * BV_US_PER_S)
-#define WATCH_WAIT_MAX_US (20 * BV_US_PER_S)
-#define QUERY_TIMEOUT_US (2 * BV_US_PER_S)
+#define WATCH_WAIT_MIN_US (2 * BV_US_PER_S)
+#define WATCH_WAIT_PER_NODE_US (BV_US_PER_S / 4)
+#define WATCH_WAIT_SMALLEST_MAX_US (3 * BV_US_PER_S)
+#define WATCH_WAIT_LARGEST_MAX_US (20 * BV_US_PER_S)
+/*
+ * Bounds of the time limit of an answer. It doubles with each failure, so that
+ * a slow store is still read, and is halved with each answer.
+ */
+#define TIMEOUT_MIN_US (BV_US_PER_S / 2)
+#define TIMEOUT_MAX_US (4 * BV_US_PER_S)
 #define RETRY_PAUSE_MIN_US (BV_US_PER_S / 5)
 #define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
 
+static int64_t
+draw_wait_us(uint32_t nodes, GRand *random)
+{
+    int64_t max_us =
+        CLAMP(nodes * WATCH_WAIT_PER_NODE_US, WATCH_WAIT_SMALLEST_MAX_US,
+              WATCH_WAIT_LARGEST_MAX_US);
+    return (int64_t)g_rand_double_range(random, WATCH_WAIT_MIN_US,
+                                        (double)max_us);
+}
+
 bool
-bv_config_watch_next(bv_config_watch_t *watch, int64_t now_us, GRand *random,
-                     bv_config_query_t *query)
+bv_config_watch_is_due(const bv_config_watch_t *watch, int64_t now_us)
+{
+    return !watch->is_querying && now_us >= watch->due_us;
+}
+
+void
+bv_config_watch_start_query(bv_config_watch_t *watch, int64_t now_us,
+                            uint32_t nodes, GRand *random,
+                            bv_config_query_t *query)
 {
-    if (watch->is_querying || now_us < watch->due_us) {
-        return false;
-    }
     watch->is_querying = true;
     watch->sent_us = now_us;
+    watch->timeout_us =
+        CLAMP(watch->timeout_us, TIMEOUT_MIN_US, TIMEOUT_MAX_US);
     *query = (bv_config_query_t){
         .kind = BV_CONFIG_QUERY_READ,
-        .timeout_us = QUERY_TIMEOUT_US,
+        .timeout_us = watch->timeout_us,
+        .uses_fresh_connection = true,
     };
     if (watch->known_version != 0) {
         query->kind = BV_CONFIG_QUERY_WATCH;
         query->version = watch->known_version;
-        query->wait_us = (int64_t)g_rand_double_range(
-            random, WATCH_WAIT_MIN_US, WATCH_WAIT_MAX_US);
+        query->wait_us = draw_wait_us(nodes, random);
     }
-    return true;
 }
 
 /* Schedules the next query after a jittered, exponentially growing pause. */
@@ -55,15 +78,19 @@
     if (answer == BV_CONFIG_ANSWER_OK) {
         watch->known_version = version;
         watch->pause_us = 0;
+        watch->timeout_us /= 2;
         watch->due_us = now_us;
         watch->answered_us = now_us;
         watch->failures = 0;
         return;
     }
     watch->failures++;
-    if (answer == BV_CONFIG_ANSWER_HISTORY_GONE) {
-        watch->known_version = 0;
-    }
+    /*
+     * The row is read next: a read is answered at once, so that it shows soon
+     * whether the store can be reached again.
+     */
+    watch->known_version = 0;
+    watch->timeout_us *= 2;
     schedule_retry(watch, now_us, random);
 }
 
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -73,7 +73,7 @@
 ctl_store_read(ctl_store_t *store, const char *key)
 {
     pending_call_t pending = {.store = store};
-    bool is_sent = bv_store_read(store->store, key, on_answer, &pending);
+    bool is_sent = bv_store_read(store->store, key, NULL, on_answer, &pending);
     return wait_for_answer(&pending, is_sent);
 }
 
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -10,8 +10,11 @@
  * that holds the configuration
  *
  * The row is read first. Then its table is watched: the store holds a watch
- * until the table changes or the time of the watch ends. A query that failed
- * is repeated after a pause that grows with each failure.
+ * until the table changes or the time of the watch ends. After a query that
+ * failed the row is read again, after a pause that grows with each failure.
+ *
+ * A connection can fall silent without being closed, and then so do all that
+ * are open. Each query therefore needs a connection of its own.
  */
 typedef enum {
     /* Read the row. */
@@ -46,6 +49,8 @@
     int64_t due_us;
     /* Current pause after a failed query; doubles with each failure. */
     int64_t pause_us;
+    /* Current time limit of an answer. */
+    int64_t timeout_us;
     /*
      * Version of the table up to which changes have been received; at 0 the
      * row is read instead of watched.
@@ -60,12 +65,16 @@
     uint32_t failures;
 } bv_config_watch_t;
 
+/* Returns whether a query has to be sent now: one is due and none is open. */
+bool bv_config_watch_is_due(const bv_config_watch_t *watch, int64_t now_us);
+
 /*
- * Sets `*query` to the query to send now. Returns false if none is due, or if
- * the last one has not ended.
+ * Starts the query that is due and sets `*query` to it. `nodes` is the number
+ * of nodes that watch the row and tell each other of its changes.
  */
-bool bv_config_watch_next(bv_config_watch_t *watch, int64_t now_us,
-                          GRand *random, bv_config_query_t *query);
+void bv_config_watch_start_query(bv_config_watch_t *watch, int64_t now_us,
+                                 uint32_t nodes, GRand *random,
+                                 bv_config_query_t *query);
 
 /*
  * Handles the end of the query. `version` is the store's newest version, from
--- a/include/berylvane/platform/store.h
+++ b/include/berylvane/platform/store.h
@@ -92,13 +92,22 @@
 bool bv_store_write(bv_store_t *store, json_t *operations, bool is_atomic,
                     bv_store_done_t done, void *context);
 
+/* How a request is sent. */
+typedef struct {
+    /* Time limit of the answer; 0 for that of the store. */
+    int64_t timeout_us;
+    /* Whether to use a new connection, which is closed after the answer. */
+    bool uses_fresh_connection;
+} bv_store_request_options_t;
+
 /*
  * Reads the row with the key `key`. The answer has "rows", with one object
  * {"key", "value", "revision"} or none if the row does not exist, and
- * "version", the newest version of the store.
+ * "version", the newest version of the store. `options` may be NULL.
  */
-bool bv_store_read(bv_store_t *store, const char *key, bv_store_done_t done,
-                   void *context);
+bool bv_store_read(bv_store_t *store, const char *key,
+                   const bv_store_request_options_t *options,
+                   bv_store_done_t done, void *context);
 
 /*
  * Reads the rows whose key starts with `prefix`: all of them if `limit` is 0,
@@ -109,14 +118,24 @@
 bool bv_store_scan(bv_store_t *store, const char *prefix, const char *from,
                    uint32_t limit, bv_store_done_t done, void *context);
 
+typedef struct {
+    char *table;
+    /* The version after which changes are awaited. */
+    int64_t version;
+    /* How long the store may hold the request. */
+    int64_t wait_us;
+} bv_store_watch_t;
+
 /*
- * Waits up to `wait_us` for rows of `table` that changed after `version`. The
- * answer is that of bv_store_scan(); a deleted row has no "value". The result
- * is BV_STORE_ABSENT if the store no longer keeps the changes since `version`:
- * the caller has to read all rows again.
+ * Waits for rows that changed, as `watch` states. The answer is that of
+ * bv_store_scan(); a deleted row has no "value". The result is
+ * BV_STORE_ABSENT if the store no longer keeps the changes since the version:
+ * the caller has to read all rows again. The time limit in `options`, which
+ * may be NULL, is added to the time of the watch.
  */
-bool bv_store_watch(bv_store_t *store, const char *table, int64_t version,
-                    int64_t wait_us, bv_store_done_t done, void *context);
+bool bv_store_watch(bv_store_t *store, const bv_store_watch_t *watch,
+                    const bv_store_request_options_t *options,
+                    bv_store_done_t done, void *context);
 
 /* Writes and reads an object of the object store by its name. */
 bool bv_store_put_object(bv_store_t *store, const char *name, GBytes *body,
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -92,13 +92,21 @@
 send_query(bv_node_t *node, const bv_config_query_t *query)
 {
     const char *key = node->dialect->config_source->key;
+    bv_store_request_options_t options = {
+        .timeout_us = query->timeout_us,
+        .uses_fresh_connection = query->uses_fresh_connection,
+    };
     if (query->kind == BV_CONFIG_QUERY_READ) {
-        return bv_store_read(node->store, key, on_answer, node);
+        return bv_store_read(node->store, key, &options, on_answer, node);
     }
-    char *table = g_strndup(key, strcspn(key, "/"));
-    bool is_sent = bv_store_watch(node->store, table, query->version,
-                                  query->wait_us, on_answer, node);
-    g_free(table);
+    bv_store_watch_t watch = {
+        .table = g_strndup(key, strcspn(key, "/")),
+        .version = query->version,
+        .wait_us = query->wait_us,
+    };
+    bool is_sent =
+        bv_store_watch(node->store, &watch, &options, on_answer, node);
+    g_free(watch.table);
     return is_sent;
 }
 
@@ -106,9 +114,14 @@
 bv_config_watch_tick(bv_node_t *node)
 {
     bv_config_query_t query;
-    if (bv_config_watch_next(&node->config_watch, node->now_us, node->random,
-                             &query) &&
-        !send_query(node, &query)) {
+    if (!bv_config_watch_is_due(&node->config_watch, node->now_us)) {
+        return;
+    }
+    /* bv_membership_count_present() does not count this node. */
+    uint32_t nodes = bv_membership_count_present(node->membership) + 1;
+    bv_config_watch_start_query(&node->config_watch, node->now_us, nodes,
+                                node->random, &query);
+    if (!send_query(node, &query)) {
         bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                       node->random, BV_CONFIG_ANSWER_FAILED,
                                       0);
--- a/node/configs.c
+++ b/node/configs.c
@@ -219,7 +219,7 @@
 {
     bv_node_t *node = context;
     if (node->dialect->config_source == NULL) {
-        bv_store_read(node->store, BV_HEAD_KEY, on_head, node);
+        bv_store_read(node->store, BV_HEAD_KEY, NULL, on_head, node);
     }
 }
 
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -113,8 +113,10 @@
         if (node->is_querying && is_answered(group, node)) {
             end_query(group, node);
         }
-        if (bv_config_watch_next(&node->watch, group->now_us, group->random,
-                                 &node->query)) {
+        if (bv_config_watch_is_due(&node->watch, group->now_us)) {
+            bv_config_watch_start_query(&node->watch, group->now_us,
+                                        group->node_count, group->random,
+                                        &node->query);
             send_query(group, node);
         }
     }
