Request a configuration's body from members and the store in turn

Callers saw old routes served by nodes that already knew of the change.

Cause: the body was requested from up to four members, one a second, and only then from the object store, in which the users' platform holds no configuration at all. Connections to members fall silent together, so that the first request says little about the second.

Change: member and store take turns; on the users' platform the store's turn reads the row. A bundle that comes with its version (the row, an operator's submission) is offered without being requested first, which saves a read of an object that does not exist at each change and node.

--- a/core/config_fetcher.c
+++ b/core/config_fetcher.c
@@ -8,8 +8,12 @@
 #define SOURCES_LIMIT 4
 /* Members whose reports allow the first adoption without the head row. */
 #define GATHER_MEMBERS 3
+/* Counts as a reporter for offered bundles; no member has this name. */
+#define OFFER_REPORTER "(offer)"
 /* Time between reads of the head row before the first adoption. */
 #define STARTUP_POLL_US 500000
+/* Requests after which the time between requests grows by a fetch timeout. */
+#define REQUESTS_PER_BACKOFF 4
 /* Largest multiple of the fetch timeout that is waited between requests. */
 #define BACKOFF_LIMIT 5
 /* Polls are spread over this range of the interval. */
@@ -28,7 +32,8 @@
     bv_config_version_t wanted;
     member_names_t sources;
     uint32_t next_source;
-    uint32_t failed_rounds;
+    /* Requests sent for the bundle of `wanted`. */
+    uint32_t requests;
     int64_t fetch_due_us;
     int64_t poll_due_us;
     /* The last version found invalid on this node; not fetched again. */
@@ -110,31 +115,46 @@
            fetcher->pending_body == NULL;
 }
 
-/* The time between requests grows with each round over all sources. */
 static void
 schedule_next_fetch(bv_config_fetcher_t *fetcher, int64_t now_us)
 {
-    uint32_t factor = MIN(fetcher->failed_rounds + 1, BACKOFF_LIMIT);
+    uint32_t factor =
+        MIN(1 + fetcher->requests / REQUESTS_PER_BACKOFF, BACKOFF_LIMIT);
     fetcher->fetch_due_us =
         now_us + fetcher->options.fetch_timeout_us * factor;
 }
 
-/* Requests the bundle from the next member, or else from the object store. */
-static void
-fetch_from_next_source(bv_config_fetcher_t *fetcher, int64_t now_us)
+/* Returns false if no request could be sent to any member. */
+static bool
+request_from_next_member(bv_config_fetcher_t *fetcher)
 {
     const bv_config_fetcher_options_t *options = &fetcher->options;
-    schedule_next_fetch(fetcher, now_us);
-    while (fetcher->next_source < fetcher->sources.count) {
-        const char *member = fetcher->sources.names[fetcher->next_source++];
+    for (uint32_t i = 0; i < fetcher->sources.count; i++) {
+        const char *member = fetcher->sources.names[fetcher->next_source];
+        fetcher->next_source =
+            (fetcher->next_source + 1) % fetcher->sources.count;
         if (options->ops->request_from_member(options->context, member,
                                               fetcher->wanted.generation)) {
-            return;
+            return true;
         }
     }
-    fetcher->next_source = 0;
-    fetcher->failed_rounds++;
-    options->ops->read_object(options->context, &fetcher->wanted);
+    return false;
+}
+
+/*
+ * Requests the bundle from a member and from the store in turn, since whatever
+ * keeps one member from delivering may keep the others too.
+ */
+static void
+fetch_from_next_source(bv_config_fetcher_t *fetcher, int64_t now_us)
+{
+    const bv_config_fetcher_options_t *options = &fetcher->options;
+    schedule_next_fetch(fetcher, now_us);
+    bool is_members_turn = fetcher->requests % 2 == 0;
+    fetcher->requests++;
+    if (!is_members_turn || !request_from_next_member(fetcher)) {
+        options->ops->read_object(options->context, &fetcher->wanted);
+    }
 }
 
 static void
@@ -145,7 +165,7 @@
     fetcher->wanted = *version;
     fetcher->sources.count = 0;
     fetcher->next_source = 0;
-    fetcher->failed_rounds = 0;
+    fetcher->requests = 0;
     g_clear_pointer(&fetcher->pending_body, g_bytes_unref);
 }
 
@@ -278,6 +298,26 @@
     return true;
 }
 
+bool
+bv_config_fetcher_handle_offer(bv_config_fetcher_t *fetcher, int64_t now_us,
+                               const bv_config_version_t *version,
+                               GBytes *body, bool is_head_version)
+{
+    fetcher->is_head_known |= is_head_version;
+    if (!is_head_version) {
+        add_reporter(fetcher, now_us, OFFER_REPORTER);
+    }
+    bool replaces_wanted =
+        version->generation > fetcher->wanted.generation ||
+        (is_head_version && !is_same_version(version, &fetcher->wanted));
+    if (is_relevant(fetcher, version) && replaces_wanted) {
+        set_wanted(fetcher, version);
+        schedule_next_fetch(fetcher, now_us);
+    }
+    return bv_config_fetcher_handle_bundle(fetcher, now_us,
+                                           version->generation, body);
+}
+
 static void
 poll_head(bv_config_fetcher_t *fetcher, int64_t now_us)
 {
--- a/include/berylvane/core/config_fetcher.h
+++ b/include/berylvane/core/config_fetcher.h
@@ -9,8 +9,8 @@
  * A version is a generation and the digest of its bundle. The head row of the
  * store's table assigns exactly one digest to each generation. The fetcher
  * receives versions from gossip and from reads of the head row. It requests
- * the bundle of the newest version from the members that have it, then from
- * the object store, and repeats this until the bundle has arrived. It adopts a
+ * the bundle of the newest version from the members that have it and from the
+ * object store in turn until the bundle has arrived. It adopts a
  * bundle only if the digest is that of the version and the generation is
  * higher than the one in force.
  *
@@ -80,6 +80,16 @@
                                    int64_t now_us,
                                    const bv_config_version_t *version);
 
+/*
+ * Handles a bundle that arrived together with its version and was not
+ * requested. With `is_head_version`, its version counts as the one that the
+ * head row names. Returns what bv_config_fetcher_handle_bundle() returns.
+ */
+bool bv_config_fetcher_handle_offer(bv_config_fetcher_t *fetcher,
+                                    int64_t now_us,
+                                    const bv_config_version_t *version,
+                                    GBytes *body, bool is_head_version);
+
 /*
  * Handles a bundle that has arrived. Returns false if it is not the bundle of
  * any requested version: its digest differs, or its generation is higher than
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -423,6 +423,12 @@
  */
 void bv_config_watch_tick(bv_node_t *node);
 
+/*
+ * Reads the row now, beside the watch, and adopts its configuration when that
+ * is newer. Returns false if the read could not be sent.
+ */
+bool bv_config_watch_read_row(bv_node_t *node);
+
 /*
  * Applies the configured limits for callers (header and body sizes, timeouts)
  * to the outside listener.
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -1,11 +1,15 @@
 #include "berylvane/core/config_watch.h"
 
+#include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
 
+/* Time limit of a read beside the watch. */
+#define ROW_TIMEOUT_US (2 * BV_US_PER_S)
+
 typedef struct {
     bv_config_answer_t answer;
     json_t *json;
@@ -110,6 +114,33 @@
     return is_sent;
 }
 
+static void
+handle_row(bv_node_t *node, void *data)
+{
+    json_t *answer = data;
+    handle_rows(node, json_object_get(answer, "rows"));
+    json_decref(answer);
+}
+
+static void
+on_row(void *context, bv_store_answer_t *answer)
+{
+    if (classify(answer) == BV_CONFIG_ANSWER_OK) {
+        bv_node_post_blocking(context, handle_row, bv_store_take_json(answer));
+    }
+}
+
+bool
+bv_config_watch_read_row(bv_node_t *node)
+{
+    const bv_store_request_options_t options = {
+        .timeout_us = ROW_TIMEOUT_US,
+        .uses_fresh_connection = true,
+    };
+    return bv_store_read(node->store, node->dialect->config_source->key,
+                         &options, on_row, node);
+}
+
 void
 bv_config_watch_tick(bv_node_t *node)
 {
--- a/node/configs.c
+++ b/node/configs.c
@@ -7,8 +7,9 @@
 #include <string.h>
 
 #define FETCH_TIMEOUT_US BV_US_PER_S
-/* Source of versions that no member reported; no member has this name. */
-#define OPERATOR_SOURCE "(operator)"
+/* Sources of versions that no member reported; no member has these names. */
+static const char OPERATOR_SOURCE[] = "(operator)";
+static const char ROW_SOURCE[] = "(row)";
 #define GATHER_TIMEOUT_US (2 * BV_US_PER_S)
 
 /* A version read from the head row, or a bundle from the object store. */
@@ -166,10 +167,19 @@
     bv_node_post_blocking(fetched->node, handle_object, fetched);
 }
 
+/*
+ * Reads a bundle of berylvane's own form from the object store. Where a row
+ * holds the configuration in another form, that row is read.
+ */
 static void
 read_object(void *context, const bv_config_version_t *version)
 {
     bv_node_t *node = context;
+    if (node->dialect->config_source != NULL) {
+        report_request(ROW_SOURCE, version->generation,
+                       bv_config_watch_read_row(node));
+        return;
+    }
     bv_head_t head = {0};
     fetched_config_t *fetched = g_new0(fetched_config_t, 1);
     fetched->node = node;
@@ -263,41 +273,46 @@
     }
 }
 
-void
-bv_configs_handle_version(bv_node_t *node, const bv_config_version_t *version,
-                          const char *member)
+/* Logs a version that is newer than all that are known. */
+static void
+note_version(bv_node_t *node, const bv_config_version_t *version,
+             const char *source)
 {
     uint64_t wanted =
         bv_config_fetcher_wanted(node->config_fetcher)->generation;
     if (version->generation > wanted) {
         node->config_heard_us = node->now_us;
         bv_log(BV_LOG_INFO, "config_heard", "generation",
-               BV_NUM((gint64)version->generation), "from", member, "in_force",
+               BV_NUM((gint64)version->generation), "from", source, "in_force",
                BV_NUM((gint64)in_force_generation(node)), NULL);
     }
+}
+
+void
+bv_configs_handle_version(bv_node_t *node, const bv_config_version_t *version,
+                          const char *member)
+{
+    note_version(node, version, member);
     bv_config_fetcher_handle_version(node->config_fetcher, node->now_us,
                                      version, member);
 }
 
 /*
- * Offers a bundle to the fetcher. With `is_head_version`, its version counts
- * as the one that the table names, so that it is adopted without waiting for
- * the versions of members. Returns false when the fetcher refuses the bundle:
+ * Offers a bundle to the fetcher. A bundle from ROW_SOURCE counts as the one
+ * that the table names, so that it is adopted without waiting for the versions
+ * of members. Returns false when the fetcher refuses the bundle:
  * it was rejected before, or its generation has another digest.
  */
 static bool
 submit_bundle(bv_node_t *node, uint64_t generation, GBytes *body,
-              bool is_head_version)
+              const char *source)
 {
     bv_config_version_t version = {generation, bv_config_bundle_digest(body)};
-    bv_configs_handle_version(node, &version, OPERATOR_SOURCE);
-    if (is_head_version) {
-        bv_config_fetcher_handle_head(node->config_fetcher, node->now_us,
-                                      &version);
-    }
     uint64_t previous_generation = in_force_generation(node);
-    bool is_accepted = bv_config_fetcher_handle_bundle(
-        node->config_fetcher, node->now_us, generation, body);
+    note_version(node, &version, source);
+    bool is_accepted =
+        bv_config_fetcher_handle_offer(node->config_fetcher, node->now_us,
+                                       &version, body, source == ROW_SOURCE);
     if (in_force_generation(node) > previous_generation) {
         bv_membership_push_self(node->membership);
     }
@@ -314,7 +329,7 @@
         json_integer_value(json_object_get(bundle, "generation"));
     json_decref(bundle);
     return generation > 0 &&
-           submit_bundle(node, (uint64_t)generation, body, false);
+           submit_bundle(node, (uint64_t)generation, body, OPERATOR_SOURCE);
 }
 
 void
@@ -335,7 +350,7 @@
         char *text = json_dumps(bundle, JSON_COMPACT | JSON_SORT_KEYS);
         GBytes *body =
             g_bytes_new_with_free_func(text, strlen(text), free, text);
-        submit_bundle(node, (uint64_t)generation, body, true);
+        submit_bundle(node, (uint64_t)generation, body, ROW_SOURCE);
         g_bytes_unref(body);
         json_decref(bundle);
     }
