Ask members that report a configuration later, too

Callers: none saw it; found by reading the code around the last fault.

Cause: the members to request a body from were the first four that reported the version. When these ended or fell silent while the store was away, members that reported it later were never asked.

Change: a new reporter replaces the one that was added first.

--- a/core/config_fetcher.c
+++ b/core/config_fetcher.c
@@ -32,6 +32,7 @@
     bv_config_version_t wanted;
     member_names_t sources;
     uint32_t next_source;
+    uint32_t oldest_source;
     /* Requests sent for the bundle of `wanted`. */
     uint32_t requests;
     int64_t fetch_due_us;
@@ -93,14 +94,21 @@
 }
 
 static bool
-add_member_name(member_names_t *names, const char *name)
+has_member_name(const member_names_t *names, const char *name)
 {
     for (uint32_t i = 0; i < names->count; i++) {
         if (strcmp(names->names[i], name) == 0) {
-            return false;
+            return true;
         }
     }
-    if (names->count == SOURCES_LIMIT) {
+    return false;
+}
+
+/* Returns false if there is no room, or the name is there already. */
+static bool
+add_member_name(member_names_t *names, const char *name)
+{
+    if (names->count == SOURCES_LIMIT || has_member_name(names, name)) {
         return false;
     }
     g_strlcpy(names->names[names->count], name, BV_NAME_BYTES);
@@ -108,6 +116,21 @@
     return true;
 }
 
+/*
+ * Adds a member that has the wanted version. It replaces the one that was
+ * added first if there is no room, since that one may have ended.
+ */
+static void
+add_source(bv_config_fetcher_t *fetcher, const char *member)
+{
+    member_names_t *sources = &fetcher->sources;
+    if (add_member_name(sources, member) || has_member_name(sources, member)) {
+        return;
+    }
+    g_strlcpy(sources->names[fetcher->oldest_source], member, BV_NAME_BYTES);
+    fetcher->oldest_source = (fetcher->oldest_source + 1) % SOURCES_LIMIT;
+}
+
 static bool
 needs_body(const bv_config_fetcher_t *fetcher)
 {
@@ -165,6 +188,7 @@
     fetcher->wanted = *version;
     fetcher->sources.count = 0;
     fetcher->next_source = 0;
+    fetcher->oldest_source = 0;
     fetcher->requests = 0;
     g_clear_pointer(&fetcher->pending_body, g_bytes_unref);
 }
@@ -262,7 +286,7 @@
         if (newer) {
             set_wanted(fetcher, version);
         }
-        add_member_name(&fetcher->sources, member);
+        add_source(fetcher, member);
         if (newer) {
             fetch_from_next_source(fetcher, now_us);
         }
--- a/tests/test_config_sources.c
+++ b/tests/test_config_sources.c
@@ -26,8 +26,6 @@
     bool is_store_up;
     /* The member that delivers the body; NULL if none does. */
     const char *delivering_member;
-    uint32_t member_requests;
-    uint32_t store_requests;
     bool has_delivered;
 } fixture_t;
 
@@ -36,7 +34,6 @@
 {
     fixture_t *fixture = context;
     (void)generation;
-    fixture->member_requests++;
     if (g_strcmp0(member, fixture->delivering_member) == 0) {
         fixture->has_delivered = true;
     }
@@ -54,7 +51,6 @@
 {
     fixture_t *fixture = context;
     (void)version;
-    fixture->store_requests++;
     if (fixture->is_store_up) {
         fixture->store_due_us = fixture->now_us + STORE_DELAY_US;
     }
@@ -120,8 +116,6 @@
     fixture->body = g_bytes_new(text, strlen(text));
     fixture->version =
         (bv_config_version_t){2, bv_config_bundle_digest(fixture->body)};
-    fixture->member_requests = 0;
-    fixture->store_requests = 0;
     fixture->store_due_us = 0;
 }
 
@@ -175,6 +169,27 @@
 }
 END_TEST
 
+/*
+ * The store is down, and the first members that reported the version do not
+ * deliver. One that reports it later must be asked too.
+ */
+START_TEST(test_later_reporter_is_asked)
+{
+    uint32_t silent_members = silent_member_cases[_i];
+    fixture_t fixture = {.delivering_member = "later"};
+    fixture_open(&fixture, "second");
+    for (uint32_t i = 0; i < silent_members; i++) {
+        report_version(&fixture, member_names[i]);
+    }
+    run(&fixture, BV_US_PER_S);
+    report_version(&fixture, "later");
+    run(&fixture, 60 * BV_US_PER_S);
+    ck_assert_uint_eq(bv_config_fetcher_in_force(fixture.fetcher)->generation,
+                      2);
+    fixture_close(&fixture);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -182,6 +197,8 @@
         {"silent_members_do_not_delay_the_store",
          test_silent_members_do_not_delay_the_store,
          G_N_ELEMENTS(silent_member_cases)},
+        {"later_reporter_is_asked", test_later_reporter_is_asked,
+         G_N_ELEMENTS(silent_member_cases)},
         {NULL}};
     support_parse_arguments(argc, argv);
     random_numbers = g_rand_new_with_seed(1);
