Read the store's era, log when it rises; notes on a restored store

Callers: none have seen it yet; the users announce drills in which the store comes back from an older copy.

Change: the store's client reads the era of each answer and reports one that is new (log line store_restored, counter store_restores); the configuration's watch is given the era of its answers, and does not use it yet.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -52,9 +52,9 @@
         .timeout_us = watch->timeout_us,
         .uses_fresh_connection = true,
     };
-    if (watch->known_version != 0) {
+    if (watch->known.version != 0) {
         query->kind = BV_CONFIG_QUERY_WATCH;
-        query->version = watch->known_version;
+        query->version = watch->known.version;
         query->wait_us = draw_wait_us(nodes, random);
     }
 }
@@ -72,11 +72,11 @@
 void
 bv_config_watch_handle_answer(bv_config_watch_t *watch, int64_t now_us,
                               GRand *random, bv_config_answer_t answer,
-                              int64_t version)
+                              const bv_table_position_t *position)
 {
     watch->is_querying = false;
     if (answer == BV_CONFIG_ANSWER_OK) {
-        watch->known_version = version;
+        watch->known = *position;
         watch->pause_us = 0;
         watch->timeout_us /= 2;
         watch->due_us = now_us;
@@ -89,7 +89,7 @@
      * The row is read next: a read is answered at once, so that it shows soon
      * whether the store can be reached again.
      */
-    watch->known_version = 0;
+    watch->known.version = 0;
     watch->timeout_us *= 2;
     schedule_retry(watch, now_us, random);
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -63,6 +63,7 @@
     X(PLATFORM_READS, "platform_reads", "table and object reads")             \
     X(PLATFORM_WRITES, "platform_writes", "table and object writes")          \
     X(PLATFORM_ERRORS, "platform_errors", "platform calls without answer")    \
+    X(STORE_RESTORES, "store_restores", "times the store lost writes")        \
     X(CONFIG_QUERIES_FAILED, "config_queries_failed",                         \
       "queries for the configuration's row without an answer")                \
     X(CONFIG_REQUESTS, "config_requests",                                     \
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -35,6 +35,16 @@
     bool uses_fresh_connection;
 } bv_config_query_t;
 
+/*
+ * A point in the store's history. The store begins a new era when it comes
+ * back from an older copy of its data, so that versions can be compared only
+ * within an era. Era 0 is unknown.
+ */
+typedef struct {
+    int64_t era;
+    int64_t version;
+} bv_table_position_t;
+
 typedef enum {
     BV_CONFIG_ANSWER_OK,
     /* The store no longer keeps the changes since the watch's version. */
@@ -52,10 +62,10 @@
     /* Current time limit of an answer. */
     int64_t timeout_us;
     /*
-     * Version of the table up to which changes have been received; at 0 the
-     * row is read instead of watched.
+     * Position up to which changes have been received; at version 0 the row is
+     * read instead of watched.
      */
-    int64_t known_version;
+    bv_table_position_t known;
     bool is_querying;
     /* When the open query was sent. */
     int64_t sent_us;
@@ -77,12 +87,12 @@
                                  bv_config_query_t *query);
 
 /*
- * Handles the end of the query. `version` is the store's newest version, from
- * an answer that is BV_CONFIG_ANSWER_OK.
+ * Handles the end of the query. `position` is that of the store, from an
+ * answer that is BV_CONFIG_ANSWER_OK.
  */
 void bv_config_watch_handle_answer(bv_config_watch_t *watch, int64_t now_us,
                                    GRand *random, bv_config_answer_t answer,
-                                   int64_t version);
+                                   const bv_table_position_t *position);
 
 /*
  * Returns the time since the last answer of the store, until which its word on
--- a/include/berylvane/platform/store.h
+++ b/include/berylvane/platform/store.h
@@ -15,6 +15,10 @@
  * table. Values are JSON. The functions may be called on any thread. An
  * operation whose answer was lost may have taken effect: its result is
  * BV_STORE_UNKNOWN.
+ *
+ * The store can come back from an older copy of its data. It then begins a new
+ * era: writes since the copy are lost, and versions are given out again, so
+ * that they can be compared only within an era.
  */
 typedef struct bv_store bv_store_t;
 
@@ -40,6 +44,8 @@
     json_t *json;
     /* Bytes of the last HTTP answer; borrowed for the callback. */
     GBytes *body;
+    /* The store's era when it gave the last HTTP answer; 0 if not stated. */
+    int64_t era;
 } bv_store_answer_t;
 
 /* Called once for each operation that was sent, on the store's thread. */
@@ -59,6 +65,12 @@
     int64_t timeout_us;
     /* Limit of requests that wait for the store's thread. */
     uint32_t ring_capacity;
+    /*
+     * Called on the store's thread when an answer is the first of an era, but
+     * not for the first era known. May be NULL.
+     */
+    void (*on_era)(void *context, int64_t era);
+    void *context;
 } bv_store_options_t;
 
 /* Starts the client with a thread that sends the requests. */
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -12,6 +12,7 @@
 
 typedef struct {
     bv_config_answer_t answer;
+    int64_t era;
     json_t *json;
 } watch_answer_t;
 
@@ -38,10 +39,10 @@
 
 /* Logs a query that failed, and the first answer after such queries. */
 static void
-report_end(const bv_node_t *node, bv_config_answer_t answer)
+report_end(const bv_node_t *node, const watch_answer_t *answer)
 {
     const bv_config_watch_t *watch = &node->config_watch;
-    bool is_ok = answer == BV_CONFIG_ANSWER_OK;
+    bool is_ok = answer->answer == BV_CONFIG_ANSWER_OK;
     if (is_ok && watch->failures == 0) {
         return;
     }
@@ -50,8 +51,9 @@
     }
     bv_log(is_ok ? BV_LOG_INFO : BV_LOG_WARN,
            is_ok ? "config_source_regained" : "config_query_failed", "reason",
-           answer_names[answer], "version", BV_NUM(watch->known_version),
-           "took_us", BV_NUM(node->now_us - watch->sent_us), "watch_age_us",
+           answer_names[answer->answer], "version",
+           BV_NUM(watch->known.version), "era", BV_NUM(answer->era), "took_us",
+           BV_NUM(node->now_us - watch->sent_us), "watch_age_us",
            BV_NUM(bv_config_watch_age_us(watch, node->now_us)), "failures",
            BV_NUM(watch->failures), NULL);
 }
@@ -60,11 +62,14 @@
 handle_answer(bv_node_t *node, void *data)
 {
     watch_answer_t *answer = data;
-    int64_t version =
-        json_integer_value(json_object_get(answer->json, "version"));
-    report_end(node, answer->answer);
+    bv_table_position_t position = {
+        .era = answer->era,
+        .version =
+            json_integer_value(json_object_get(answer->json, "version")),
+    };
+    report_end(node, answer);
     bv_config_watch_handle_answer(&node->config_watch, node->now_us,
-                                  node->random, answer->answer, version);
+                                  node->random, answer->answer, &position);
     if (answer->answer == BV_CONFIG_ANSWER_OK) {
         handle_rows(node, json_object_get(answer->json, "rows"));
     }
@@ -88,6 +93,7 @@
 {
     watch_answer_t *answer = g_new0(watch_answer_t, 1);
     answer->answer = classify(store_answer);
+    answer->era = store_answer->era;
     answer->json = bv_store_take_json(store_answer);
     bv_node_post_blocking(context, handle_answer, answer);
 }
@@ -155,6 +161,6 @@
     if (!send_query(node, &query)) {
         bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                       node->random, BV_CONFIG_ANSWER_FAILED,
-                                      0);
+                                      &(bv_table_position_t){0});
     }
 }
--- a/node/node.c
+++ b/node/node.c
@@ -1,6 +1,7 @@
 #include "berylvane/node/node.h"
 
 #include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/call.h"
 
@@ -57,6 +58,22 @@
     bv_node_post_blocking(context, bv_serve_handle_result, result);
 }
 
+static void
+handle_era(bv_node_t *node, void *data)
+{
+    (void)node;
+    int64_t *era = data;
+    bv_counter_add(BV_COUNT_STORE_RESTORES, 1);
+    bv_log(BV_LOG_WARN, "store_restored", "era", BV_NUM(*era), NULL);
+    g_free(era);
+}
+
+static void
+on_era(void *context, int64_t era)
+{
+    bv_node_post_blocking(context, handle_era, g_memdup2(&era, sizeof(era)));
+}
+
 static void
 create_core(bv_node_t *node)
 {
@@ -104,6 +121,8 @@
         .url = settings->platform_url,
         .timeout_us = settings->store_timeout_ms * BV_US_PER_MS,
         .ring_capacity = STORE_RING_CAPACITY,
+        .on_era = on_era,
+        .context = node,
     };
     bv_target_client_options_t target = {
         .kept_connections = TARGET_IDLE_CONNECTIONS_LIMIT,
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -88,10 +88,10 @@
     else {
         node->version = group->version;
     }
-    bv_config_watch_handle_answer(&node->watch, group->now_us, group->random,
-                                  is_silent ? BV_CONFIG_ANSWER_FAILED
-                                            : BV_CONFIG_ANSWER_OK,
-                                  node->version);
+    bv_table_position_t position = {.version = node->version};
+    bv_config_watch_handle_answer(
+        &node->watch, group->now_us, group->random,
+        is_silent ? BV_CONFIG_ANSWER_FAILED : BV_CONFIG_ANSWER_OK, &position);
 }
 
 static bool
