Read the configuration's row again when the store went back

Callers would have seen an old configuration for good after a drill in which the store comes back from an older copy.

Cause: the watch compared versions across eras of the store. Versions are given out again, so that a watch which resumes from one of the old era misses what was written between the copy and that version, without a 410.

Change: an answer of another era, or with a version below the one that the watch resumed from, makes the row be read again; the version alone serves a store that states no era. A store that states no version is read with a pause.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -69,6 +69,20 @@
                                        g_rand_double_range(random, 0.5, 1));
 }
 
+/*
+ * Whether the changes of an answer follow those that are known. They do not if
+ * the store has come back from an older copy: the changes between that copy
+ * and the known version are then missing.
+ */
+static bool
+continues_known(const bv_config_watch_t *watch,
+                const bv_table_position_t *position)
+{
+    bool is_read = watch->known.version == 0;
+    return is_read || (position->era == watch->known.era &&
+                       position->version >= watch->known.version);
+}
+
 void
 bv_config_watch_handle_answer(bv_config_watch_t *watch, int64_t now_us,
                               GRand *random, bv_config_answer_t answer,
@@ -76,10 +90,16 @@
 {
     watch->is_querying = false;
     if (answer == BV_CONFIG_ANSWER_OK) {
+        bool must_read = !continues_known(watch, position);
         watch->known = *position;
+        if (must_read) {
+            watch->known.version = 0;
+        }
         watch->pause_us = 0;
         watch->timeout_us /= 2;
-        watch->due_us = now_us;
+        /* The pause bounds the reads of a store that states no version. */
+        watch->due_us =
+            now_us + (watch->known.version == 0 ? RETRY_PAUSE_MIN_US : 0);
         watch->answered_us = now_us;
         watch->failures = 0;
         return;
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -13,6 +13,10 @@
  * until the table changes or the time of the watch ends. After a query that
  * failed the row is read again, after a pause that grows with each failure.
  *
+ * The row is also read again when an answer shows that the store has come back
+ * from an older copy of its data: its versions are then given out again, and a
+ * watch that resumes from an old one misses changes.
+ *
  * A connection can fall silent without being closed, and then so do all that
  * are open. Each query therefore needs a connection of its own.
  */
