After a time-out, use no connection to the store that was open then

In berylvane's own dialect a node polls the head row every 10 s, and claims of keys go over kept connections.

Cause: half-open connections, again. When the kept connections to the store fall silent together, each request that times out closes only its own, and the next one waits for the next silent connection.

Change: the client of the store opens a new connection after a time-out, and reuses only those that are younger.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -36,6 +36,9 @@
 
 struct bv_http_client {
     bool is_threadless;
+    bool distrusts_kept_after_timeout;
+    /* Connections that were opened before are not used; 0 for none. */
+    int64_t distrusted_before_us;
     CURLM *multi;
     bv_http_poll_t *poll;
     bv_ring_t *ring;
@@ -187,6 +190,26 @@
                                         client->idle_easy_handles->len - 1);
 }
 
+/*
+ * Keeps libcurl from using connections that were open when a request timed
+ * out. It compares the age of a connection in whole seconds, and takes a limit
+ * of 0 as none.
+ */
+static void
+restrict_reuse(const bv_http_client_t *client, const transfer_t *transfer)
+{
+    if (client->distrusted_before_us == 0) {
+        return;
+    }
+    int64_t age_us = transfer->started_us - client->distrusted_before_us;
+    long limit_s = (long)(age_us / BV_US_PER_S) - 1;
+    if (limit_s < 1) {
+        curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+        return;
+    }
+    curl_easy_setopt(transfer->easy, CURLOPT_MAXLIFETIME_CONN, limit_s);
+}
+
 static void
 start_transfer(bv_http_client_t *client, bv_http_request_t *request)
 {
@@ -214,6 +237,7 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                      (long)MAX(request->timeout_us / 1000, 1));
+    restrict_reuse(client, transfer);
     if (request->uses_fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -260,6 +284,9 @@
 {
     bv_http_request_t *request = transfer->request;
     long status = 0;
+    if (result == BV_HTTP_TIMEOUT && client->distrusts_kept_after_timeout) {
+        client->distrusted_before_us = bv_clock_now_us();
+    }
     curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
     bv_http_answer_t answer = {
         .id = request->id,
@@ -383,6 +410,8 @@
     client->idle_easy_handles =
         g_ptr_array_new_with_free_func((GDestroyNotify)curl_easy_cleanup);
     client->is_threadless = options->is_threadless;
+    client->distrusts_kept_after_timeout =
+        options->distrusts_kept_after_timeout;
     if (!client->is_threadless) {
         apr_thread_create(&client->thread, NULL, client_run, client, pool);
     }
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -90,6 +90,12 @@
      * on this thread.
      */
     bool is_threadless;
+    /*
+     * After a request that timed out, connections that were open then are not
+     * used again. For a server whose answers are not expected to take longer
+     * than the time limits, so that a time-out means a silent connection.
+     */
+    bool distrusts_kept_after_timeout;
 } bv_http_client_options_t;
 
 /*
--- /dev/null
+++ b/tests/test_http_silent.c
@@ -0,0 +1,195 @@
+#include "berylvane/common/http_client.h"
+
+#include "berylvane/common/clock.h"
+#include "berylvane/common/latch.h"
+#include "berylvane/common/program.h"
+#include "support.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Guards against requests that wait one after another for kept connections
+ * which all fell silent together.
+ */
+#define CONNECTIONS_LIMIT 16
+#define POLL_MS 20
+/* Expires in the case under test. */
+#define SHORT_TIMEOUT_US (300 * BV_US_PER_MS)
+/* Does not expire unless the request is lost. */
+#define LONG_TIMEOUT_US (5 * BV_US_PER_S)
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+typedef struct {
+    int listener;
+    struct pollfd sockets[CONNECTIONS_LIMIT];
+    nfds_t socket_count;
+    /* Requests are answered together when so many have arrived. */
+    gint answers_together;
+    /* Sockets with a lower index are not answered. */
+    gint silent_sockets;
+    gint is_stopping;
+} server_t;
+
+static void
+answer_all(server_t *server, bool has_request[CONNECTIONS_LIMIT])
+{
+    for (nfds_t i = 1; i < server->socket_count; i++) {
+        if (!has_request[i]) {
+            continue;
+        }
+        ssize_t sent =
+            send(server->sockets[i].fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
+        ck_assert_int_eq(sent, (ssize_t)strlen(ANSWER));
+        has_request[i] = false;
+    }
+}
+
+static gint
+receive_requests(server_t *server, bool has_request[CONNECTIONS_LIMIT])
+{
+    gint waiting = 0;
+    char buffer[4096];
+    for (nfds_t i = 1; i < server->socket_count; i++) {
+        struct pollfd *entry = &server->sockets[i];
+        if (entry->revents != 0 &&
+            recv(entry->fd, buffer, sizeof(buffer), MSG_DONTWAIT) <= 0) {
+            entry->events = 0;
+        }
+        else if (entry->revents != 0 &&
+                 (gint)i >= g_atomic_int_get(&server->silent_sockets)) {
+            has_request[i] = true;
+        }
+        waiting += has_request[i];
+    }
+    return waiting;
+}
+
+static gpointer
+run_server(gpointer data)
+{
+    server_t *server = data;
+    bool has_request[CONNECTIONS_LIMIT] = {false};
+    while (!g_atomic_int_get(&server->is_stopping)) {
+        poll(server->sockets, server->socket_count, POLL_MS);
+        gint waiting = receive_requests(server, has_request);
+        if (waiting >= g_atomic_int_get(&server->answers_together)) {
+            answer_all(server, has_request);
+        }
+        if (server->sockets[0].revents != 0 &&
+            server->socket_count < CONNECTIONS_LIMIT) {
+            server->sockets[server->socket_count++] = (struct pollfd){
+                .fd = accept(server->listener, NULL, NULL), .events = POLLIN};
+        }
+    }
+    for (nfds_t i = 0; i < server->socket_count; i++) {
+        close(server->sockets[i].fd);
+    }
+    return NULL;
+}
+
+static uint16_t
+server_listen(server_t *server)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ck_assert_int_eq(bind(server->listener, (struct sockaddr *)&address, size),
+                     0);
+    ck_assert_int_eq(listen(server->listener, CONNECTIONS_LIMIT), 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &size);
+    server->sockets[0] =
+        (struct pollfd){.fd = server->listener, .events = POLLIN};
+    server->socket_count = 1;
+    return ntohs(address.sin_port);
+}
+
+typedef struct {
+    bv_latch_t *latch;
+    bv_http_result_t result;
+} pending_request_t;
+
+static void
+on_answer(void *context, const bv_http_answer_t *answer)
+{
+    pending_request_t *pending = context;
+    pending->result = answer->result;
+    bv_latch_open(pending->latch);
+}
+
+static void
+send_request(bv_http_client_t *client, const char *url, uint64_t id,
+             int64_t timeout_us, pending_request_t *pending)
+{
+    bv_http_request_t *request = bv_http_request_create("GET", url);
+    request->id = id;
+    request->timeout_us = timeout_us;
+    request->answer_limit_bytes = 1024;
+    request->on_answer = on_answer;
+    request->context = pending;
+    ck_assert(bv_http_client_send(client, request));
+}
+
+/* Number of kept connections that fall silent. */
+static const gint kept_cases[] = {1, 2, 3, 8};
+
+START_TEST(test_only_one_request_waits_for_silent_connections)
+{
+    gint kept = kept_cases[_i];
+    server_t server = {.answers_together = kept};
+    uint16_t port = server_listen(&server);
+    char *url = g_strdup_printf("http://127.0.0.1:%u/a", port);
+    GThread *thread = g_thread_new("server", run_server, &server);
+    apr_pool_t *pool = bv_program_start();
+    bv_http_client_options_t options = {
+        .ring_capacity = CONNECTIONS_LIMIT,
+        .kept_connections = CONNECTIONS_LIMIT,
+        .distrusts_kept_after_timeout = true,
+    };
+    bv_http_client_t *client = bv_http_client_start(pool, &options);
+    pending_request_t pending[CONNECTIONS_LIMIT];
+    for (gint i = 0; i < kept; i++) {
+        pending[i] = (pending_request_t){.latch = bv_latch_create(pool)};
+        send_request(client, url, (uint64_t)i, LONG_TIMEOUT_US, &pending[i]);
+    }
+    for (gint i = 0; i < kept; i++) {
+        bv_latch_wait(pending[i].latch);
+        ck_assert_int_eq(pending[i].result, BV_HTTP_ANSWERED);
+    }
+    g_atomic_int_set(&server.answers_together, 1);
+    g_atomic_int_set(&server.silent_sockets, kept + 1);
+
+    pending_request_t first = {.latch = bv_latch_create(pool)};
+    send_request(client, url, 100, SHORT_TIMEOUT_US, &first);
+    bv_latch_wait(first.latch);
+    ck_assert_int_eq(first.result, BV_HTTP_TIMEOUT);
+
+    pending_request_t second = {.latch = bv_latch_create(pool)};
+    send_request(client, url, 101, LONG_TIMEOUT_US, &second);
+    bv_latch_wait(second.latch);
+    ck_assert_int_eq(second.result, BV_HTTP_ANSWERED);
+
+    bv_http_client_stop(client);
+    g_atomic_int_set(&server.is_stopping, 1);
+    g_thread_join(thread);
+    g_free(url);
+    bv_program_stop(pool);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"only_one_request_waits_for_silent_connections",
+         test_only_one_request_waits_for_silent_connections,
+         G_N_ELEMENTS(kept_cases)},
+        {NULL}};
+    return support_run("http_silent", tests);
+}
