Show the configuration's generation and its ages on /metrics

Callers saw routes of an older configuration for more than 20 s, and no page of a node told that it had not heard from the store for that long: the age was only in the logs, and only when a query ended.

Cause: /metrics has counters only.

Change: gauges beside the counters: the generation in force, the newest one heard of, and the ages of the store's last answer and of the adoption. An age is held as the time of the event and computed when the page is made, so that it grows while nothing is heard. Before the first answer the age counts from the node's start, so that an alert also finds a node that never heard. Both dialects set it: the watch and the reads beside it, and the poll of the head row. A head row with a newer generation now logs config_heard too. A generation that a node rejected is not logged as heard again at each report of it, as the code would have done (read, not run).

--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -135,7 +135,8 @@
     GBytes *bundle;
     bv_config_fetcher_t *config_fetcher;
     bv_config_watch_t config_watch;
-    /* When this node first heard of the newest configuration it knows. */
+    /* The newest configuration that this node heard of, and when first. */
+    uint64_t config_heard_generation;
     int64_t config_heard_us;
     bv_rendezvous_t rendezvous;
 
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
+#include "berylvane/common/gauges.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
@@ -37,6 +38,14 @@
     }
 }
 
+/* Handles rows that the store answered with, which shows that it is heard. */
+static void
+handle_source_answer(bv_node_t *node, const json_t *answer)
+{
+    bv_gauge_set(BV_GAUGE_CONFIG_SOURCE_AGE, node->now_us);
+    handle_rows(node, json_object_get(answer, "rows"));
+}
+
 /* Logs a query that failed, and the first answer after such queries. */
 static void
 report_end(const bv_node_t *node, const watch_answer_t *answer)
@@ -71,7 +80,7 @@
     bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                   node->random, answer->answer, &position);
     if (answer->answer == BV_CONFIG_ANSWER_OK) {
-        handle_rows(node, json_object_get(answer->json, "rows"));
+        handle_source_answer(node, answer->json);
     }
     json_decref(answer->json);
     g_free(answer);
@@ -124,7 +133,7 @@
 handle_row(bv_node_t *node, void *data)
 {
     json_t *answer = data;
-    handle_rows(node, json_object_get(answer, "rows"));
+    handle_source_answer(node, answer);
     json_decref(answer);
 }
 
--- a/node/configs.c
+++ b/node/configs.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
+#include "berylvane/common/gauges.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 #include "berylvane/platform/head.h"
@@ -10,6 +11,7 @@
 /* Sources of versions that no member reported; no member has these names. */
 static const char OPERATOR_SOURCE[] = "(operator)";
 static const char ROW_SOURCE[] = "(row)";
+static const char HEAD_SOURCE[] = "(head)";
 #define GATHER_TIMEOUT_US (2 * BV_US_PER_S)
 
 /* A version read from the head row, or a bundle from the object store. */
@@ -67,6 +69,8 @@
     bv_members_update_retry_reserve(node);
     bv_retry_budgets_set_window(node->retry_budgets, config->retry_window_us);
     bv_counter_add(BV_COUNT_CONFIG_ADOPTED, 1);
+    bv_gauge_set(BV_GAUGE_CONFIG_GENERATION, (int64_t)config->generation);
+    bv_gauge_set(BV_GAUGE_CONFIG_IN_FORCE_AGE, node->now_us);
     bv_decision_t decision = {
         .kind = BV_DECISION_ADOPTED,
         .number = (int64_t)config->generation,
@@ -193,10 +197,33 @@
     }
 }
 
+/* Logs a version that is newer than all that are known, once. */
+static void
+note_version(bv_node_t *node, const bv_config_version_t *version,
+             const char *source)
+{
+    uint64_t wanted =
+        bv_config_fetcher_wanted(node->config_fetcher)->generation;
+    /* One that was rejected is not wanted, and members report it again. */
+    if (version->generation <= wanted ||
+        version->generation == node->config_heard_generation) {
+        return;
+    }
+    node->config_heard_generation = version->generation;
+    node->config_heard_us = node->now_us;
+    bv_gauge_set(BV_GAUGE_CONFIG_HEARD_GENERATION,
+                 (int64_t)version->generation);
+    bv_log(BV_LOG_INFO, "config_heard", "generation",
+           BV_NUM((gint64)version->generation), "from", source, "in_force",
+           BV_NUM((gint64)in_force_generation(node)), NULL);
+}
+
 static void
 handle_head(bv_node_t *node, void *data)
 {
     fetched_config_t *fetched = data;
+    bv_gauge_set(BV_GAUGE_CONFIG_SOURCE_AGE, node->now_us);
+    note_version(node, &fetched->version, HEAD_SOURCE);
     bv_config_fetcher_handle_head(node->config_fetcher, node->now_us,
                                   &fetched->version);
     free_fetched(fetched);
@@ -262,6 +289,7 @@
         .context = node,
     };
     node->config_fetcher = bv_config_fetcher_create(&options);
+    bv_gauge_set(BV_GAUGE_CONFIG_SOURCE_AGE, node->now_us);
 }
 
 void
@@ -273,21 +301,6 @@
     }
 }
 
-/* Logs a version that is newer than all that are known. */
-static void
-note_version(bv_node_t *node, const bv_config_version_t *version,
-             const char *source)
-{
-    uint64_t wanted =
-        bv_config_fetcher_wanted(node->config_fetcher)->generation;
-    if (version->generation > wanted) {
-        node->config_heard_us = node->now_us;
-        bv_log(BV_LOG_INFO, "config_heard", "generation",
-               BV_NUM((gint64)version->generation), "from", source, "in_force",
-               BV_NUM((gint64)in_force_generation(node)), NULL);
-    }
-}
-
 void
 bv_configs_handle_version(bv_node_t *node, const bv_config_version_t *version,
                           const char *member)
--- a/tests/e2e/test_operator.c
+++ b/tests/e2e/test_operator.c
@@ -110,6 +110,43 @@
 }
 END_TEST
 
+/* The value of a line of /metrics; -1 if there is no such line. */
+static double
+metric(const char *name)
+{
+    bv_http_reply_t reply =
+        cluster_call(cluster_ports(fixture->cluster, 0)->operators, "GET",
+                     "/metrics", NULL, NULL);
+    gsize size;
+    const char *data = g_bytes_get_data(reply.body, &size);
+    char *text = g_strndup(data, size);
+    char *line = g_strdup_printf("\n%s ", name);
+    const char *match = strstr(text, line);
+    double value =
+        match != NULL ? g_ascii_strtod(match + strlen(line), NULL) : -1;
+    g_free(line);
+    g_free(text);
+    bv_http_reply_clear(&reply);
+    return value;
+}
+
+/* Both pages must show the generation in force, and ages must be there. */
+START_TEST(test_config_figures)
+{
+    json_t *status = get_json("/status");
+    json_int_t generation =
+        json_integer_value(json_object_get(status, "generation"));
+    ck_assert_int_ge(generation, 1);
+    ck_assert_int_eq((json_int_t)metric("berylvane_config_generation"),
+                     generation);
+    ck_assert_int_eq((json_int_t)metric("berylvane_config_heard_generation"),
+                     generation);
+    ck_assert_double_ge(metric("berylvane_config_source_age_seconds"), 0);
+    ck_assert_double_ge(metric("berylvane_config_in_force_age_seconds"), 0);
+    json_decref(status);
+}
+END_TEST
+
 typedef struct {
     const char *method;
     const char *path;
@@ -150,6 +187,7 @@
     const support_test_t tests[] = {
         {"commands", test_commands, G_N_ELEMENTS(command_cases)},
         {"explain_request", test_explain_request, 1},
+        {"config_figures", test_config_figures, 1},
         {"endpoints", test_endpoints, G_N_ELEMENTS(endpoint_cases)},
         {NULL}};
     return fixture_run(&fixture, "path.json", "operator", tests);
