Tell on /status and in berylvanectl status whether a node is late

Callers saw a 404 for routes that were there, and /status of the node showed its generation without a sign that it was old.

Cause: the generation alone cannot tell a node that is told nothing from one that knows of a newer generation and does not get its body.

Change: /status has the newest generation heard of, the two ages, the longest interval between queries and, computed from these in core/config_freshness.c, one of current, behind and source_silent (more than three intervals without an answer). berylvanectl status ends with a line about the node that holds them. The longest wait of a watch has a function of its own; how it is drawn is as before.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -22,12 +22,17 @@
 #define RETRY_PAUSE_MIN_US (BV_US_PER_S / 5)
 #define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
 
+int64_t
+bv_config_watch_longest_wait_us(uint32_t nodes)
+{
+    return CLAMP(nodes * WATCH_WAIT_PER_NODE_US, WATCH_WAIT_SMALLEST_MAX_US,
+                 WATCH_WAIT_LARGEST_MAX_US);
+}
+
 static int64_t
 draw_wait_us(uint32_t nodes, GRand *random)
 {
-    int64_t max_us =
-        CLAMP(nodes * WATCH_WAIT_PER_NODE_US, WATCH_WAIT_SMALLEST_MAX_US,
-              WATCH_WAIT_LARGEST_MAX_US);
+    int64_t max_us = bv_config_watch_longest_wait_us(nodes);
     return (int64_t)g_rand_double_range(random, WATCH_WAIT_MIN_US,
                                         (double)max_us);
 }
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define NODE_TIMEOUT_US (5 * BV_US_PER_S)
+#define MS_PER_S 1000
 
 static json_t *
 send_to_node(const ctl_options_t *options, const char *method,
@@ -143,6 +144,40 @@
     g_hash_table_destroy(sites);
 }
 
+static const char *
+explain_freshness(const char *freshness)
+{
+    if (strcmp(freshness, "behind") == 0) {
+        return " BEHIND: a newer generation is known and not in force";
+    }
+    if (strcmp(freshness, "source_silent") == 0) {
+        return " SOURCE SILENT: a newer generation may be unknown here";
+    }
+    return "";
+}
+
+/* Prints what the node knows of the configuration. */
+static void
+print_config(const json_t *status)
+{
+    json_int_t generation;
+    const char *freshness;
+    json_int_t heard;
+    json_int_t source_age_ms;
+    json_int_t in_force_age_ms = 0;
+    if (json_unpack((json_t *)status, "{s:I, s:{s:s, s:I, s:I, s?I}}",
+                    "generation", &generation, "config", "freshness",
+                    &freshness, "heard_generation", &heard, "source_age_ms",
+                    &source_age_ms, "in_force_age_ms",
+                    &in_force_age_ms) == 0) {
+        printf("this node: generation %" JSON_INTEGER_FORMAT
+               " in force for %.1f s, newest heard of %" JSON_INTEGER_FORMAT
+               ", store answered %.1f s ago%s\n",
+               generation, (double)in_force_age_ms / MS_PER_S, heard,
+               (double)source_age_ms / MS_PER_S, explain_freshness(freshness));
+    }
+}
+
 int
 ctl_status(const ctl_options_t *options)
 {
@@ -159,6 +194,7 @@
         print_member(member);
     }
     print_sites(members);
+    print_config(status);
     json_decref(status);
     return 0;
 }
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -104,4 +104,7 @@
  */
 int64_t bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us);
 
+/* Returns the longest time of a watch in a group of `nodes`. */
+int64_t bv_config_watch_longest_wait_us(uint32_t nodes);
+
 #endif
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -418,6 +418,9 @@
                               const bv_peer_message_t *message);
 void bv_configs_tick(bv_node_t *node);
 
+/* Returns the longest time between two queries for the configuration. */
+int64_t bv_configs_query_interval_us(const bv_node_t *node);
+
 /*
  * config_watch: watches the table for changes of the row that the dialect's
  * configuration source names.
@@ -430,6 +433,9 @@
  */
 bool bv_config_watch_read_row(bv_node_t *node);
 
+/* Returns the longest time for which the store holds one watch. */
+int64_t bv_config_watch_interval_us(const bv_node_t *node);
+
 /*
  * Applies the configured limits for callers (header and body sizes, timeouts)
  * to the outside listener.
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -156,6 +156,19 @@
                          &options, on_row, node);
 }
 
+static uint32_t
+count_nodes(const bv_node_t *node)
+{
+    /* bv_membership_count_present() does not count this node. */
+    return bv_membership_count_present(node->membership) + 1;
+}
+
+int64_t
+bv_config_watch_interval_us(const bv_node_t *node)
+{
+    return bv_config_watch_longest_wait_us(count_nodes(node));
+}
+
 void
 bv_config_watch_tick(bv_node_t *node)
 {
@@ -163,10 +176,8 @@
     if (!bv_config_watch_is_due(&node->config_watch, node->now_us)) {
         return;
     }
-    /* bv_membership_count_present() does not count this node. */
-    uint32_t nodes = bv_membership_count_present(node->membership) + 1;
-    bv_config_watch_start_query(&node->config_watch, node->now_us, nodes,
-                                node->random, &query);
+    bv_config_watch_start_query(&node->config_watch, node->now_us,
+                                count_nodes(node), node->random, &query);
     if (!send_query(node, &query)) {
         bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                       node->random, BV_CONFIG_ANSWER_FAILED,
--- a/node/configs.c
+++ b/node/configs.c
@@ -197,6 +197,14 @@
     }
 }
 
+int64_t
+bv_configs_query_interval_us(const bv_node_t *node)
+{
+    return node->dialect->config_source != NULL
+               ? bv_config_watch_interval_us(node)
+               : node->settings->config_poll_ms * BV_US_PER_MS;
+}
+
 /* Logs a version that is newer than all that are known, once. */
 static void
 note_version(bv_node_t *node, const bv_config_version_t *version,
--- a/node/status.c
+++ b/node/status.c
@@ -1,3 +1,6 @@
+#include "berylvane/common/clock.h"
+#include "berylvane/common/gauges.h"
+#include "berylvane/core/config_freshness.h"
 #include "berylvane/node/node.h"
 
 #include <stdlib.h>
@@ -25,21 +28,50 @@
     return members;
 }
 
+/* NULL for a gauge without a time. */
+static json_t *
+render_age_ms(const bv_node_t *node, bv_gauge_t gauge)
+{
+    int64_t age_us = bv_gauge_age_us(gauge, node->now_us);
+    return age_us < 0 ? NULL : json_integer(age_us / BV_US_PER_MS);
+}
+
+static json_t *
+render_config(const bv_node_t *node, uint64_t generation)
+{
+    bv_config_knowledge_t knowledge = {
+        .in_force = generation,
+        .heard = node->config_heard_generation,
+        .source_age_us =
+            bv_gauge_age_us(BV_GAUGE_CONFIG_SOURCE_AGE, node->now_us),
+        .query_interval_us = bv_configs_query_interval_us(node),
+    };
+    return json_pack(
+        "{s:s, s:I, s:I, s:o*, s:o*}", "freshness",
+        bv_config_freshness_name(bv_config_freshness(&knowledge)),
+        "heard_generation", (json_int_t)knowledge.heard, "query_interval_ms",
+        (json_int_t)(knowledge.query_interval_us / BV_US_PER_MS),
+        "source_age_ms", render_age_ms(node, BV_GAUGE_CONFIG_SOURCE_AGE),
+        "in_force_age_ms", render_age_ms(node, BV_GAUGE_CONFIG_IN_FORCE_AGE));
+}
+
 static json_t *
 render_status(const bv_node_t *node)
 {
     json_int_t generation =
         node->config != NULL ? (json_int_t)node->config->generation : 0;
     return json_pack(
-        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "name",
-        node->settings->name, "data_centre", node->settings->data_centre,
-        "region", node->settings->region, "draining", node->draining,
-        "generation", generation, "calls", (json_int_t)bv_calls_count(node),
-        "served", (json_int_t)bv_serve_count(node), "running",
+        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o}",
+        "name", node->settings->name, "data_centre",
+        node->settings->data_centre, "region", node->settings->region,
+        "draining", node->draining, "generation", generation, "calls",
+        (json_int_t)bv_calls_count(node), "served",
+        (json_int_t)bv_serve_count(node), "running",
         (json_int_t)bv_admission_running(node->admission), "queued",
         (json_int_t)bv_admission_queued(node->admission), "threshold",
         (json_int_t)bv_admission_threshold(node->admission), "limit",
-        (json_int_t)bv_admission_limit(node->admission), "members",
+        (json_int_t)bv_admission_limit(node->admission), "config",
+        render_config(node, (uint64_t)generation), "members",
         render_members(node));
 }
 
--- a/tests/e2e/test_operator.c
+++ b/tests/e2e/test_operator.c
@@ -130,7 +130,7 @@
     return value;
 }
 
-/* Both pages must show the generation in force, and ages must be there. */
+/* Both pages must show the same generation, and the ages must be there. */
 START_TEST(test_config_figures)
 {
     json_t *status = get_json("/status");
@@ -143,6 +143,14 @@
                      generation);
     ck_assert_double_ge(metric("berylvane_config_source_age_seconds"), 0);
     ck_assert_double_ge(metric("berylvane_config_in_force_age_seconds"), 0);
+    json_t *config = json_object_get(status, "config");
+    ck_assert_int_eq(
+        json_integer_value(json_object_get(config, "heard_generation")),
+        generation);
+    ck_assert_str_eq(json_string_value(json_object_get(config, "freshness")),
+                     "current");
+    ck_assert(json_is_integer(json_object_get(config, "source_age_ms")));
+    ck_assert(json_is_integer(json_object_get(config, "in_force_age_ms")));
     json_decref(status);
 }
 END_TEST
