Test that a store that falls silent is marked on /status, and only so long

Callers saw nothing of this; the mark had not been seen on running nodes.

Cause: the end-to-end tests checked only that a node in touch is current.

Evidence: none beyond the tests.

Change: e2e_platform lets the store hang until both nodes are source_silent, and then answer until both are current.

--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -7,6 +7,7 @@
 #include "berylvane/common/program.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -284,6 +285,47 @@
     }
 }
 
+/* Whether /status of a node shows a freshness of the configuration. */
+static bool
+has_freshness(size_t node_index, const char *freshness)
+{
+    bv_http_reply_t reply =
+        send_request(deployment.nodes[node_index].ports[PORT_OPERATORS], "GET",
+                     "/status", NULL, NULL);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    json_t *status = json_loadb(text, size, 0, NULL);
+    const char *shown = json_string_value(
+        json_object_get(json_object_get(status, "config"), "freshness"));
+    bool is_same = g_strcmp0(shown, freshness) == 0;
+    json_decref(status);
+    bv_http_reply_clear(&reply);
+    return is_same;
+}
+
+static void
+wait_for_freshness(const char *freshness)
+{
+    int64_t end_us = bv_clock_now_us() + STATE_TIMEOUT_US;
+    for (size_t i = 0; i < NODES; i++) {
+        while (!has_freshness(i, freshness)) {
+            ck_assert_msg(bv_clock_now_us() < end_us, "node %zu is not %s", i,
+                          freshness);
+            usleep(POLL_US);
+        }
+    }
+}
+
+static void
+set_store_mode(const char *mode)
+{
+    char *body = g_strdup_printf("{\"mode\": \"%s\"}", mode);
+    ck_assert_uint_eq(
+        request_status(deployment.store_port, "POST", "/control", NULL, body),
+        200);
+    g_free(body);
+}
+
 static void
 start_deployment(void)
 {
@@ -390,6 +432,13 @@
     store_config(5, "/b/");
     wait_for_status("/b/1", 200);
     ck_assert_uint_eq(request_as_caller("/a/1", ""), 404);
+    /* A store that does not answer must be marked until it answers again. */
+    wait_for_freshness("current");
+    set_store_mode("hang");
+    wait_for_freshness("source_silent");
+    set_store_mode("up");
+    wait_for_freshness("current");
+    wait_for_status("/b/1", 200);
     /* A target that drains must get no more calls. */
     ck_assert_uint_eq(send_heartbeat(1, "draining"), 200);
     gint before = g_atomic_int_get(&back->served);
