Skip rows that no member writes

Callers saw, at other operators, machines that were lost or stopped following the list after another writer had left one odd entry in it.

Cause: a row that parses was merged whatever it said. An incarnation far in the future hides all packets of the real member as replays; a version near 2^32 hides its records, and the member could not raise its own above it, which it did only where it was suspect; a row could declare a member dead; a port of 0 was taken; a host name was looked up by the thread that takes decisions; and a row at any key could name a known member.

Refused already: deep nesting, ports of 70000 and -1, reals, numbers beyond 64 bits, long texts.

Change: limits with names for the incarnation (24 hours ahead of the clock), version and slots; ports from 1; IPv4 addresses only, as in the settings; only the states a member writes; only at the member's own key. Each row that is skipped is logged by its key. A member raises its version above that of any record of its incarnation. The generation of a row is only shown, and stays without a limit.

Not mended: an incarnation less than 24 hours ahead at the member's own key hides the member until that time.

--- a/core/membership.c
+++ b/core/membership.c
@@ -101,17 +101,19 @@
 }
 
 /*
- * Refutes a record in which this node is suspect or dead: raises the version
- * of this node's record above that of the refuted one.
+ * Refutes a record of this node that other nodes may prefer to the true one:
+ * one in which this node is suspect or dead, or one with a version that this
+ * node has not reached. Raises the version of this node's record above it.
  */
 static void
-refute_suspicion(bv_membership_t *membership, const bv_member_t *record)
+refute_record(bv_membership_t *membership, const bv_member_t *record)
 {
     bv_member_t *self = &membership->self.member;
     bool is_suspected =
         record->state == BV_MEMBER_SUSPECT || record->state == BV_MEMBER_DEAD;
-    if (record->incarnation != self->incarnation || !is_suspected ||
-        record->version < self->version) {
+    bool is_preferred = record->version > self->version ||
+                        (record->version == self->version && is_suspected);
+    if (record->incarnation != self->incarnation || !is_preferred) {
         return;
     }
     membership_toggle_digest(membership, &membership->self);
@@ -170,7 +172,7 @@
                         const bv_member_t *record, bool is_update)
 {
     if (strcmp(record->name, membership->self.member.name) == 0) {
-        refute_suspicion(membership, record);
+        refute_record(membership, record);
         return;
     }
     entry_t *entry = g_hash_table_lookup(membership->entries, record->name);
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -4,14 +4,11 @@
 #include "berylvane/node/node.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /*
- * The key of a member's row begins with a digest of the member's name, so that
- * any range of keys is a random sample of the members. A node that starts
+ * A range of keys is a random sample of the members. A node that starts
  * therefore reads ranges of limited size until it has found enough members.
  */
-#define ROW_KEY_PREFIX "member/"
 #define RANGE_ROWS_LIMIT 64
 #define ENOUGH_MEMBERS 4
 #define FIRST_SCAN_RETRY_US (BV_US_PER_S / 4)
@@ -20,11 +17,11 @@
 #define JITTER_LOW 0.8
 #define JITTER_HIGH 1.2
 
-static char *
-build_row_key(const char *name)
+static void
+report_bad_row(const json_t *row)
 {
-    return g_strdup_printf(ROW_KEY_PREFIX "%016" G_GINT64_MODIFIER "x/%s",
-                           (guint64)XXH3_64bits(name, strlen(name)), name);
+    const char *key = json_string_value(json_object_get(row, "key"));
+    bv_log(BV_LOG_WARN, "member_row_bad", "key", key != NULL ? key : "", NULL);
 }
 
 static void
@@ -34,10 +31,11 @@
     json_t *row;
     json_array_foreach((json_t *)rows, index, row) {
         bv_member_t member;
-        if (bv_member_row_parse(json_object_get(row, "value"), &member)) {
-            bv_membership_merge_record(node->membership, node->now_us,
-                                       &member);
+        if (!bv_member_row_read(row, &member)) {
+            report_bad_row(row);
+            continue;
         }
+        bv_membership_merge_record(node->membership, node->now_us, &member);
     }
 }
 
@@ -104,7 +102,7 @@
 write_row(bv_node_t *node)
 {
     const bv_member_t *self = bv_membership_self(node->membership);
-    char *key = build_row_key(self->name);
+    char *key = bv_member_row_key(self->name);
     json_t *operations = json_array();
     json_array_append_new(operations,
                           bv_store_op_put(key, bv_member_row_render(self)));
@@ -117,7 +115,7 @@
 {
     char from[24];
     g_snprintf(from, sizeof(from), "%08x", node->rendezvous.range_start);
-    bv_store_scan(node->store, ROW_KEY_PREFIX,
+    bv_store_scan(node->store, BV_MEMBER_ROW_PREFIX,
                   node->rendezvous.range_start == 0 ? NULL : from,
                   RANGE_ROWS_LIMIT, on_rows_read, node);
 }
@@ -172,7 +170,7 @@
 void
 bv_rendezvous_withdraw(bv_node_t *node)
 {
-    char *key = build_row_key(node->settings->name);
+    char *key = bv_member_row_key(node->settings->name);
     json_t *operations = json_array();
     json_array_append_new(operations, bv_store_op_drop(key));
     g_free(key);
--- a/tests/test_member_row.c
+++ b/tests/test_member_row.c
@@ -1,6 +1,10 @@
 #include "berylvane/node/member_row.h"
+
+#include "berylvane/common/clock.h"
 #include "support.h"
 
+#include <string.h>
+
 typedef struct {
     const char *service;
     uint32_t slots;
@@ -61,12 +65,136 @@
 }
 END_TEST
 
+/*
+ * Values of one field of a row that is valid otherwise. Guards against a row
+ * that parses but that no member wrote: it must not hide the real member for
+ * good, nor make a node contact an address that is none.
+ */
+typedef struct {
+    const char *field;
+    /* JSON; "wall+N" stands for the wall-clock time in N hours. */
+    const char *value;
+    bool is_valid;
+} field_case_t;
+
+static const field_case_t field_cases[] = {
+    {"name", "\"n-1\"", true},
+    {"name", "\"\"", false},
+    {"name", "\"0123456789012345678901234567890123456789\"", false},
+    {"name", "7", false},
+    {"address", "\"10.0.0.1\"", true},
+    {"address", "\"some.host.example\"", false},
+    {"address", "\"10.0.0.999\"", false},
+    {"address", "\"10.0.0.1;127.0.0.1\"", false},
+    {"peer_port", "65535", true},
+    {"peer_port", "0", false},
+    {"peer_port", "-1", false},
+    {"peer_port", "70000", false},
+    {"peer_port", "7000.0", false},
+    {"gossip_port", "0", false},
+    {"gossip_port", "70000", false},
+    {"incarnation", "wall+0", true},
+    {"incarnation", "wall+1", true},
+    {"incarnation", "wall+48", false},
+    {"incarnation", "9223372036854775807", false},
+    {"incarnation", "1e18", false},
+    {"incarnation", "0", false},
+    {"incarnation", "-5", false},
+    {"version", "1000", true},
+    {"version", "4294967295", false},
+    {"version", "1.5", false},
+    {"slots", "4294967295", false},
+    {"slots", "-1", false},
+    {"state", "\"draining\"", true},
+    {"state", "\"suspect\"", false},
+    {"state", "\"left\"", false},
+    {"state", "\"dead\"", false},
+    {"state", "\"asleep\"", false},
+    {"generation", "-1", false},
+    {"generation", "1e3", false},
+};
+
+#define WALL "wall+"
+#define US_PER_HOUR (3600 * BV_US_PER_S)
+
+static json_t *
+build_valid_value(void)
+{
+    bv_member_t member = {
+        .name = "n-1",
+        .data_centre = "m1",
+        .region = "midlands",
+        .address = "10.0.0.1",
+        .peer_port = 7000,
+        .gossip_port = 7001,
+        .incarnation = 5,
+    };
+    return bv_member_row_render(&member);
+}
+
+static json_t *
+load_field_value(const char *text)
+{
+    if (!g_str_has_prefix(text, WALL)) {
+        return json_loads(text, JSON_DECODE_ANY, NULL);
+    }
+    gint64 hours = g_ascii_strtoll(text + strlen(WALL), NULL, 10);
+    return json_integer(bv_clock_wall_us() + hours * US_PER_HOUR);
+}
+
+START_TEST(test_values_that_no_member_writes)
+{
+    const field_case_t *row = &field_cases[_i];
+    bv_member_t parsed;
+    json_t *value = build_valid_value();
+    json_object_set_new(value, row->field, load_field_value(row->value));
+    ck_assert_msg(bv_member_row_parse(value, &parsed) == row->is_valid,
+                  "%s %s", row->field, row->value);
+    json_decref(value);
+}
+END_TEST
+
+typedef struct {
+    /* Key of the row; NULL for the member's own one. */
+    const char *key;
+    bool is_valid;
+} key_case_t;
+
+static const key_case_t key_cases[] = {
+    {NULL, true},
+    {"member/n-1", false},
+    {"member/0000000000000000/n-1", false},
+    {"member/", false},
+    {"", false},
+};
+
+/* Guards against a row at any other key that names a known member. */
+START_TEST(test_key_of_another_shape)
+{
+    const key_case_t *row = &key_cases[_i];
+    bv_member_t parsed;
+    char *own_key = bv_member_row_key("n-1");
+    json_t *json =
+        json_pack("{s:s, s:o}", "key", row->key != NULL ? row->key : own_key,
+                  "value", build_valid_value());
+    ck_assert_int_eq(bv_member_row_read(json, &parsed), row->is_valid);
+    json_object_del(json, "key");
+    ck_assert(!bv_member_row_read(json, &parsed));
+    json_decref(json);
+    g_free(own_key);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"round_trip", test_round_trip, G_N_ELEMENTS(round_trip_cases)},
         {"invalid_rows", test_invalid_rows, G_N_ELEMENTS(invalid_rows)},
+        {"values_that_no_member_writes", test_values_that_no_member_writes,
+         G_N_ELEMENTS(field_cases)},
+        {"key_of_another_shape", test_key_of_another_shape,
+         G_N_ELEMENTS(key_cases)},
         {NULL}};
     return support_run("member_row", tests);
 }
