--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -172,6 +172,8 @@
      true, BV_ANNOUNCED_DRAINING},
     {"/v1/instances/i-7/deregister", "", true, BV_ANNOUNCED_LEFT},
     {"/v1/instances//deregister", "", false, BV_ANNOUNCED_READY},
+    {"/v1/instances/deregister", "", false, BV_ANNOUNCED_READY},
+    {"/v1/instances/heartbeat", "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "[1]", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD, false,
