Take no refusal of another request as proof that a request was not run

Callers saw, at other operators, "not run, try again" for requests that an endpoint had run or was running, after a faulty endpoint had written an earlier refusal once more.

Cause: an answer that is no success needed no echo header. On a kept connection a refusal, a "misdirected" or a failure without it, left over from another request, counted for the next one. Header lines after a chunked body were added to the head: "not executed" there made a request that had been answered count as not run, whether idempotent or not.

Work that is not idempotent has a connection of its own, on which nothing else was sent; a refusal without an id still counts there.

Change: on a connection that was used before, every answer needs the echo header. Trailers are ignored. Receiving answers moved to a file of its own. The own dialect has no echo header and no refusals; it is unchanged.

One existing test was wrong: the target in test_e2e_platform refused without a request id on a kept connection, and its refusal had to reach the caller as 503. It now refuses with the id, which must still arrive as 503, and then without it, which must not (504).

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/headers.h"
 #include "berylvane/common/http_poll.h"
 #include "berylvane/common/ring.h"
+#include "http_reception.h"
 
 #include <apr_thread_proc.h>
 #include <curl/curl.h>
@@ -15,14 +16,10 @@
     bv_http_request_t *request;
     CURL *easy;
     struct curl_slist *header_lines;
-    GByteArray *body;
-    GString *headers;
+    http_reception_t reception;
     /* Bytes of the request's body that libcurl has read. */
     size_t sent_bytes;
     int64_t started_us;
-    bool is_body_too_large;
-    /* The answer has the header `echo_name` with the value `echo_value`. */
-    bool has_echo;
 } transfer_t;
 
 /*
@@ -74,70 +71,6 @@
     g_free(request);
 }
 
-static size_t
-receive_body(char *data, size_t size, size_t count, void *context)
-{
-    transfer_t *transfer = context;
-    size_t length = size * count;
-    if (transfer->body->len + length > transfer->request->answer_limit_bytes) {
-        transfer->is_body_too_large = true;
-        return 0;
-    }
-    g_byte_array_append(transfer->body, (guint8 *)data, (guint)length);
-    return length;
-}
-
-/* Returns false if a header identifies the answer of another request. */
-static bool
-matches_echo(transfer_t *transfer, const char *name, const char *value)
-{
-    const bv_http_request_t *request = transfer->request;
-    if (request->echo_name == NULL ||
-        g_ascii_strcasecmp(name, request->echo_name) != 0) {
-        return true;
-    }
-    transfer->has_echo = strcmp(value, request->echo_value) == 0;
-    return transfer->has_echo;
-}
-
-/*
- * Returns false if the header section of a successful answer ends without the
- * required echo header.
- */
-static bool
-has_required_echo(const transfer_t *transfer)
-{
-    long status = 0;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    return transfer->request->echo_name == NULL || transfer->has_echo ||
-           status / 100 != 2;
-}
-
-static size_t
-receive_header(char *data, size_t size, size_t count, void *context)
-{
-    transfer_t *transfer = context;
-    size_t length = size * count;
-    char *line = g_strndup(data, length);
-    char *colon = strchr(line, ':');
-    bool is_valid = true;
-    if (g_str_has_prefix(line, "HTTP/")) {
-        g_string_truncate(transfer->headers, 0);
-        transfer->has_echo = false;
-    }
-    else if (colon != NULL) {
-        *colon = '\0';
-        const char *value = g_strstrip(colon + 1);
-        g_string_append_printf(transfer->headers, "%s: %s\r\n", line, value);
-        is_valid = matches_echo(transfer, line, value);
-    }
-    else {
-        is_valid = has_required_echo(transfer);
-    }
-    g_free(line);
-    return is_valid ? length : 0;
-}
-
 static size_t
 send_body(char *buffer, size_t size, size_t count, void *context)
 {
@@ -216,8 +149,7 @@
     transfer_t *transfer = g_new0(transfer_t, 1);
     transfer->request = request;
     transfer->easy = acquire_easy_handle(client);
-    transfer->body = g_byte_array_new();
-    transfer->headers = g_string_new(NULL);
+    http_reception_init(&transfer->reception, request, transfer->easy);
     transfer->started_us = bv_clock_now_us();
     CURL *easy = transfer->easy;
     bv_headers_foreach(request->headers, append_header_line, transfer);
@@ -227,10 +159,6 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_lines);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receive_body);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, receive_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -293,10 +221,10 @@
         .result = result,
         .error = error,
         .status = (uint16_t)status,
-        .headers = transfer->headers->str,
+        .headers = transfer->reception.headers->str,
         .latency_us = bv_clock_now_us() - transfer->started_us,
     };
-    answer.body = g_byte_array_free_to_bytes(transfer->body);
+    answer.body = http_reception_take_body(&transfer->reception);
     request->on_answer(request->context, &answer);
     g_bytes_unref(answer.body);
     curl_multi_remove_handle(client->multi, transfer->easy);
@@ -304,7 +232,7 @@
     g_ptr_array_add(client->idle_easy_handles, transfer->easy);
     g_hash_table_remove(client->transfers, &request->id);
     curl_slist_free_all(transfer->header_lines);
-    g_string_free(transfer->headers, TRUE);
+    http_reception_clear(&transfer->reception);
     bv_http_request_destroy(request);
     g_free(transfer);
 }
@@ -350,7 +278,7 @@
         transfer_t *transfer;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
         finish_transfer(client, transfer, classify_result(transfer, code),
-                        transfer->is_body_too_large
+                        transfer->reception.is_body_too_large
                             ? "answer body exceeds the size limit"
                             : curl_easy_strerror(code));
     }
--- /dev/null
+++ b/common/http_reception.c
@@ -0,0 +1,117 @@
+#include "http_reception.h"
+
+#include <string.h>
+
+static size_t
+receive_body(char *data, size_t size, size_t count, void *context)
+{
+    http_reception_t *reception = context;
+    size_t length = size * count;
+    if (reception->body->len + length >
+        reception->request->answer_limit_bytes) {
+        reception->is_body_too_large = true;
+        return 0;
+    }
+    g_byte_array_append(reception->body, (guint8 *)data, (guint)length);
+    return length;
+}
+
+/* Returns false if a header identifies the answer of another request. */
+static bool
+matches_echo(http_reception_t *reception, const char *name, const char *value)
+{
+    const bv_http_request_t *request = reception->request;
+    if (request->echo_name == NULL ||
+        g_ascii_strcasecmp(name, request->echo_name) != 0) {
+        return true;
+    }
+    reception->has_echo = strcmp(value, request->echo_value) == 0;
+    return reception->has_echo;
+}
+
+/* Whether another request was sent on the connection before. */
+static bool
+is_on_kept_connection(const http_reception_t *reception)
+{
+    long connects = 0;
+    curl_easy_getinfo(reception->easy, CURLINFO_NUM_CONNECTS, &connects);
+    return connects == 0;
+}
+
+/*
+ * Ends the header section. Returns false if it belongs to a final answer
+ * without the required echo header.
+ */
+static bool
+end_head(http_reception_t *reception)
+{
+    long status = 0;
+    curl_easy_getinfo(reception->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status / 100 == 1) {
+        return true;
+    }
+    reception->is_head_complete = true;
+    bool is_echo_required =
+        status / 100 == 2 || is_on_kept_connection(reception);
+    return reception->request->echo_name == NULL || reception->has_echo ||
+           !is_echo_required;
+}
+
+static bool
+receive_head_line(http_reception_t *reception, char *line)
+{
+    char *colon = strchr(line, ':');
+    if (g_str_has_prefix(line, "HTTP/")) {
+        g_string_truncate(reception->headers, 0);
+        reception->has_echo = false;
+        return true;
+    }
+    if (colon != NULL) {
+        *colon = '\0';
+        const char *value = g_strstrip(colon + 1);
+        g_string_append_printf(reception->headers, "%s: %s\r\n", line, value);
+        return matches_echo(reception, line, value);
+    }
+    bool is_empty = g_strstrip(line)[0] == '\0';
+    return !is_empty || end_head(reception);
+}
+
+/* Trailers are ignored: they must not change the meaning of an answer. */
+static size_t
+receive_header(char *data, size_t size, size_t count, void *context)
+{
+    http_reception_t *reception = context;
+    size_t length = size * count;
+    if (reception->is_head_complete) {
+        return length;
+    }
+    char *line = g_strndup(data, length);
+    bool is_valid = receive_head_line(reception, line);
+    g_free(line);
+    return is_valid ? length : 0;
+}
+
+void
+http_reception_init(http_reception_t *reception,
+                    const bv_http_request_t *request, CURL *easy)
+{
+    *reception = (http_reception_t){.request = request, .easy = easy};
+    reception->body = g_byte_array_new();
+    reception->headers = g_string_new(NULL);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receive_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, reception);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, receive_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, reception);
+}
+
+GBytes *
+http_reception_take_body(http_reception_t *reception)
+{
+    return g_byte_array_free_to_bytes(reception->body);
+}
+
+void
+http_reception_clear(http_reception_t *reception)
+{
+    g_string_free(reception->headers, TRUE);
+}
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -36,7 +36,9 @@
     const char *error;
     /* HTTP status; 0 if none was received. */
     uint16_t status;
-    /* All header lines of the answer, each ended by CR LF. */
+    /*
+     * All header lines of the answer, each ended by CR LF, without trailers.
+     */
     char *headers;
     GBytes *body;
     int64_t latency_us;
@@ -55,10 +57,11 @@
     GBytes *body;
     /*
      * Header that identifies the answers to this request; NULL for none. A
-     * successful answer must have the header with the value `echo_value`; no
-     * answer may have it with another value. An answer that breaks this rule
-     * belongs to another request: the connection is closed and the request
-     * ends as BV_HTTP_BROKEN.
+     * successful answer, and any answer on a connection that was used before,
+     * must have the header with the value `echo_value`; no answer may have it
+     * with another value. An answer that breaks this rule belongs to another
+     * request: the connection is closed and the request ends as
+     * BV_HTTP_BROKEN.
      */
     char *echo_name;
     char *echo_value;
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -58,6 +58,7 @@
 enum {
     MODE_SERVE,
     MODE_REFUSE,
+    MODE_REFUSE_WITHOUT_ID,
     MODE_WRONG_ID,
 };
 
@@ -137,8 +138,14 @@
     bv_reply_t reply = {.status = 200};
     char *headers =
         g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
+    char *refusal =
+        g_strdup_printf("Request-Id: %s\r\nNot-Executed: 1\r\n", id);
     switch (g_atomic_int_get(&node->mode)) {
     case MODE_REFUSE:
+        reply.status = 503;
+        reply.headers = refusal;
+        break;
+    case MODE_REFUSE_WITHOUT_ID:
         reply.status = 503;
         reply.headers = "Not-Executed: 1\r\n";
         break;
@@ -153,6 +160,7 @@
     reply.body = g_bytes_new_static("whole", 5);
     bv_call_reply(call, &reply);
     g_bytes_unref(reply.body);
+    g_free(refusal);
     g_free(headers);
     g_free(id);
     return true;
@@ -371,11 +379,13 @@
                                      NULL),
                       400);
     /*
-     * A refusal by the target must reach the caller; an answer with another
-     * request id must not.
+     * A refusal by the target must reach the caller; a refusal without a
+     * request id on a kept connection, and an answer with another id must not.
      */
     g_atomic_int_set(&back->mode, MODE_REFUSE);
     ck_assert_uint_eq(request_as_caller("/a/1", ""), 503);
+    g_atomic_int_set(&back->mode, MODE_REFUSE_WITHOUT_ID);
+    ck_assert_uint_eq(request_as_caller("/a/1", ""), 504);
     g_atomic_int_set(&back->mode, MODE_WRONG_ID);
     ck_assert_uint_eq(request_as_caller("/a/1", "") / 100, 5);
     g_atomic_int_set(&back->mode, MODE_SERVE);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -33,7 +33,10 @@
     /* A successful answer to another request, or without the echo header. */
     {OK "X-Id: 8\r\nContent-Length: 2\r\n\r\nok", false, BV_HTTP_BROKEN},
     {OK "Content-Length: 2\r\n\r\nok", false, BV_HTTP_BROKEN},
-    /* A refusal may omit the echo header, but must not have another value. */
+    /*
+     * The first answer on a connection may omit the echo header if it is a
+     * refusal, but must not have another value.
+     */
     {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false,
      BV_HTTP_ANSWERED},
     {"HTTP/1.1 503 Busy\r\nX-Id: 8\r\nContent-Length: 0\r\n\r\n", false,
