Bound the memory of answers that do not end

Cause: each body is cut off at 8 MB, but a node may have 42 such answers at once, more than its memory. Trailers without end were read until the deadline.

Endless status lines, header lines, informational answers and single bodies were cut off already.

Change: the bodies of all unfinished answers of a target share 48 MB; beyond them an answer that is longer than an equal part is cut off, so that they take 96 MB at most. All header lines of an answer, with trailers, have a limit of 64 KB. An answer that is cut off has an unknown outcome, and its connection is closed.

Not shown: endless bytes within a chunk's size line, which are not kept in memory and last until the deadline.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -33,6 +33,7 @@
 
 struct bv_http_client {
     bool is_threadless;
+    http_reception_share_t share;
     bool distrusts_kept_after_timeout;
     /* Connections that were opened before are not used; 0 for none. */
     int64_t distrusted_before_us;
@@ -149,7 +150,8 @@
     transfer_t *transfer = g_new0(transfer_t, 1);
     transfer->request = request;
     transfer->easy = acquire_easy_handle(client);
-    http_reception_init(&transfer->reception, request, transfer->easy);
+    http_reception_init(&transfer->reception, &client->share, request,
+                        transfer->easy);
     transfer->started_us = bv_clock_now_us();
     CURL *easy = transfer->easy;
     bv_headers_foreach(request->headers, append_header_line, transfer);
@@ -278,8 +280,8 @@
         transfer_t *transfer;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
         finish_transfer(client, transfer, classify_result(transfer, code),
-                        transfer->reception.is_body_too_large
-                            ? "answer body exceeds the size limit"
+                        transfer->reception.is_too_large
+                            ? "answer exceeds a size limit"
                             : curl_easy_strerror(code));
     }
 }
@@ -296,6 +298,12 @@
     return bv_http_poll_next_timer_us(client->poll);
 }
 
+size_t
+bv_http_client_received_bytes(const bv_http_client_t *client)
+{
+    return client->share.received_bytes;
+}
+
 void
 bv_http_client_run_timers(bv_http_client_t *client)
 {
@@ -338,6 +346,7 @@
     client->idle_easy_handles =
         g_ptr_array_new_with_free_func((GDestroyNotify)curl_easy_cleanup);
     client->is_threadless = options->is_threadless;
+    client->share.limit_bytes = options->answers_limit_bytes;
     client->distrusts_kept_after_timeout =
         options->distrusts_kept_after_timeout;
     if (!client->is_threadless) {
--- a/common/http_reception.c
+++ b/common/http_reception.c
@@ -2,17 +2,34 @@
 
 #include <string.h>
 
+/* Limit of all header lines of an answer. */
+#define HEADERS_LIMIT_BYTES (64 * 1024)
+
+/*
+ * Whether a body of `size` bytes takes more than its equal part of a memory
+ * that all bodies together have used up.
+ */
+static bool
+exceeds_share(const http_reception_share_t *share, size_t size, size_t added)
+{
+    return share->limit_bytes > 0 &&
+           share->received_bytes + added > share->limit_bytes &&
+           size > share->limit_bytes / share->receptions;
+}
+
 static size_t
 receive_body(char *data, size_t size, size_t count, void *context)
 {
     http_reception_t *reception = context;
     size_t length = size * count;
-    if (reception->body->len + length >
-        reception->request->answer_limit_bytes) {
-        reception->is_body_too_large = true;
+    size_t total = reception->body->len + length;
+    if (total > reception->request->answer_limit_bytes ||
+        exceeds_share(reception->share, total, length)) {
+        reception->is_too_large = true;
         return 0;
     }
     g_byte_array_append(reception->body, (guint8 *)data, (guint)length);
+    reception->share->received_bytes += length;
     return length;
 }
 
@@ -82,6 +99,11 @@
 {
     http_reception_t *reception = context;
     size_t length = size * count;
+    reception->header_bytes += length;
+    if (reception->header_bytes > HEADERS_LIMIT_BYTES) {
+        reception->is_too_large = true;
+        return 0;
+    }
     if (reception->is_head_complete) {
         return length;
     }
@@ -92,10 +114,12 @@
 }
 
 void
-http_reception_init(http_reception_t *reception,
+http_reception_init(http_reception_t *reception, http_reception_share_t *share,
                     const bv_http_request_t *request, CURL *easy)
 {
-    *reception = (http_reception_t){.request = request, .easy = easy};
+    *reception =
+        (http_reception_t){.share = share, .request = request, .easy = easy};
+    share->receptions++;
     reception->body = g_byte_array_new();
     reception->headers = g_string_new(NULL);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receive_body);
@@ -107,6 +131,8 @@
 GBytes *
 http_reception_take_body(http_reception_t *reception)
 {
+    reception->share->received_bytes -= reception->body->len;
+    reception->share->receptions--;
     return g_byte_array_free_to_bytes(reception->body);
 }
 
--- a/common/http_reception.h
+++ b/common/http_reception.h
@@ -10,23 +10,41 @@
  *
  * A reception is part of a larger object and must not be moved.
  */
+
+/* Memory that the receptions of one client share. */
+typedef struct {
+    /* Limit of all bodies together; 0 for none. */
+    size_t limit_bytes;
+    size_t received_bytes;
+    uint32_t receptions;
+} http_reception_share_t;
+
 typedef struct {
+    http_reception_share_t *share;
     const bv_http_request_t *request;
     CURL *easy;
     GByteArray *body;
     GString *headers;
-    bool is_body_too_large;
+    /* Bytes of all header lines, also of informational answers and trailers.
+     */
+    size_t header_bytes;
+    bool is_too_large;
     /* Header lines that follow are trailers. */
     bool is_head_complete;
     /* The answer has the header `echo_name` with the value `echo_value`. */
     bool has_echo;
 } http_reception_t;
 
-/* Makes `easy` hand the answer to `request` to the reception. */
+/*
+ * Makes `easy` hand the answer to `request` to the reception. An answer ends
+ * as too large if its header lines or its body exceed their limits, or if the
+ * bodies of all receptions together do and its own exceeds an equal part.
+ */
 void http_reception_init(http_reception_t *reception,
+                         http_reception_share_t *share,
                          const bv_http_request_t *request, CURL *easy);
 
-/* Moves the body to the caller; called once. */
+/* Moves the body to the caller, by which it leaves the share; called once. */
 GBytes *http_reception_take_body(http_reception_t *reception);
 
 /* Frees what remains after the body was moved. */
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -70,7 +70,10 @@
     /* Connections that were idle for longer are not reused; 0 for no limit. */
     uint32_t idle_limit_s;
     int64_t timeout_us;
-    /* A longer body makes the request end as BV_HTTP_BROKEN. */
+    /*
+     * A longer body makes the request end as BV_HTTP_BROKEN, as do endless
+     * header lines.
+     */
     size_t answer_limit_bytes;
     /*
      * Called once, on the thread that runs the client. The answer and what its
@@ -85,6 +88,13 @@
     uint32_t ring_capacity;
     /* Most connections that are kept open for reuse. */
     uint32_t kept_connections;
+    /*
+     * Limit of the bodies of all unfinished answers; 0 for none. When it is
+     * reached, an answer that goes on and whose body is longer than an equal
+     * part of the limit ends as BV_HTTP_BROKEN. The bodies together take twice
+     * the limit at most.
+     */
+    size_t answers_limit_bytes;
     /*
      * The client has no thread. One thread of the user makes all calls of the
      * client's functions, and calls bv_http_client_run() when
@@ -118,6 +128,9 @@
  */
 int64_t bv_http_client_next_timer_us(const bv_http_client_t *client);
 
+/* Returns the size of the bodies of all unfinished answers. */
+size_t bv_http_client_received_bytes(const bv_http_client_t *client);
+
 /* Handles socket events and expired timers without blocking. */
 void bv_http_client_run(bv_http_client_t *client);
 
--- a/include/berylvane/targets/client.h
+++ b/include/berylvane/targets/client.h
@@ -22,6 +22,8 @@
     uint32_t kept_connections;
     /* A longer body of an answer fails the request. */
     size_t answer_limit_bytes;
+    /* Limit of the bodies of all unfinished answers, see http_client.h. */
+    size_t answers_limit_bytes;
     /* Borrowed; NULL for berylvane's own dialect. */
     const bv_target_dialect_t *dialect;
     /*
@@ -47,6 +49,9 @@
 /* Returns when the next timer expires; INT64_MAX if there is none. */
 int64_t bv_target_client_next_timer_us(const bv_target_client_t *client);
 
+/* Returns the size of the bodies of all unfinished answers. */
+size_t bv_target_client_received_bytes(const bv_target_client_t *client);
+
 /* Handles the events of connections and the timers that have expired. */
 void bv_target_client_run(bv_target_client_t *client);
 
--- a/node/node.c
+++ b/node/node.c
@@ -12,6 +12,7 @@
 #define SPAN_RING_CAPACITY 8192
 #define TARGET_IDLE_CONNECTIONS_LIMIT 512
 #define TARGET_ANSWER_LIMIT_BYTES BV_PEER_BODY_LIMIT_BYTES
+#define TARGET_ANSWERS_LIMIT_BYTES (48 * 1024 * 1024)
 #define SESSION_RETENTION_US (120 * BV_US_PER_S)
 #define SETTLED_ATTEMPTS_LIMIT 65536
 #define SESSION_CALLERS_LIMIT 65536
@@ -127,6 +128,7 @@
     bv_target_client_options_t target = {
         .kept_connections = TARGET_IDLE_CONNECTIONS_LIMIT,
         .answer_limit_bytes = TARGET_ANSWER_LIMIT_BYTES,
+        .answers_limit_bytes = TARGET_ANSWERS_LIMIT_BYTES,
         .dialect = node->dialect->target.write_head != NULL
                        ? &node->dialect->target
                        : NULL,
--- a/targets/client.c
+++ b/targets/client.c
@@ -95,7 +95,10 @@
         client->options.dialect = &bv_target_own_dialect;
     }
     bv_http_client_options_t http = {
-        .kept_connections = options->kept_connections, .is_threadless = true};
+        .kept_connections = options->kept_connections,
+        .answers_limit_bytes = options->answers_limit_bytes,
+        .is_threadless = true,
+    };
     client->http = bv_http_client_start(pool, &http);
     return client;
 }
@@ -118,6 +121,12 @@
     return bv_http_client_next_timer_us(client->http);
 }
 
+size_t
+bv_target_client_received_bytes(const bv_target_client_t *client)
+{
+    return bv_http_client_received_bytes(client->http);
+}
+
 void
 bv_target_client_run(bv_target_client_t *client)
 {
