--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -258,6 +258,28 @@
      ",\"VirtualHosts\":[{\"Hostname\":\"h\",\"Paths\":[{\"Name\":\"one\","
      "\"Type\":\"maybe\",\"Prefix\":\"/x/\",\"Service\":\"a\"}]}]}",
      "type"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":1.5"),
+     "whole number"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"TimeoutMs\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"MaxAttempts\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"TargetLatencyMs\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"Priority\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"WeightedServices\":[{\"Service\":\"a\","
+           "\"Weight\":-1}]"),
+     "not below 0"},
+    {"{\"Version\":\"r0\"," SERVICES ",\"VirtualHosts\":[]}", "Version"},
+    {"{\"Version\":\"r-1\"," SERVICES ",\"VirtualHosts\":[]}", "Version"},
+    {"{\"Version\":\"r99999999999999999999\"," SERVICES
+     ",\"VirtualHosts\":[]}",
+     "Version"},
     {"{\"Version\":7," SERVICES ",\"VirtualHosts\":[]}", "Version"},
     {"{\"Version\":\"r7\"," SERVICES "}", "VirtualHosts"},
     {"{}", "Version"},
