Test that odd rows among the members leave running nodes in touch

Change: the test writes four odd rows to the table (nested, too large a number, ports out of range, an absurd incarnation), lets the nodes scan them, and goes on with the requests, the new configuration and the drain as before.

--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -25,6 +25,8 @@
 #define PORTS 7
 #define STATE_TIMEOUT_US (60 * BV_US_PER_S)
 #define POLL_US 20000
+/* Longer than a node with few members waits between two scans. */
+#define SCANS_US (3 * BV_US_PER_S)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define GOSSIP_KEY                                                            \
     "0000000000000000000000000000000000000000000000000000000000000000"
@@ -207,6 +209,41 @@
     g_free(config);
 }
 
+/* Rows of the members' table that no node writes, by their JSON. */
+static const char *const odd_members[] = {
+    "[[[[[[[[",
+    "{\"name\":99999999999999999999}",
+    "{\"name\":\"n-7\",\"data_centre\":\"z\",\"region\":\"r\","
+    "\"address\":\"some.host.example\",\"peer_port\":70000,"
+    "\"gossip_port\":0,\"incarnation\":1,\"version\":1,\"slots\":1,"
+    "\"state\":\"alive\",\"generation\":1}",
+    "{\"name\":\"n-1\",\"data_centre\":\"z\",\"region\":\"r\","
+    "\"address\":\"127.0.0.1\",\"peer_port\":1,\"gossip_port\":1,"
+    "\"incarnation\":9223372036854775807,\"version\":4294967295,"
+    "\"slots\":0,\"state\":\"alive\",\"generation\":1}",
+};
+
+/* Writes odd rows, and waits until all nodes have read the table. */
+static void
+store_odd_members(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_members); i++) {
+        char *encoded = g_base64_encode((const guchar *)odd_members[i],
+                                        strlen(odd_members[i]));
+        char *body = g_strdup_printf(
+            "{\"ExpectedRevision\":[],\"Writes\":[{\"Table\":\"member\","
+            "\"part\":\"\",\"Key\":\"odd-%zu\",\"Value\":\"%s\"}],"
+            "\"Remove\":[]}",
+            i, encoded);
+        ck_assert_uint_eq(request_status(deployment.store_port, "POST",
+                                         "/v1/rows-tx", NULL, body),
+                          200);
+        g_free(body);
+        g_free(encoded);
+    }
+    usleep(SCANS_US);
+}
+
 static char *
 write_settings(size_t node_index)
 {
@@ -393,6 +430,9 @@
     /* An invalid heartbeat must be refused and leave the target announced. */
     ck_assert_uint_eq(send_heartbeat(1, "asleep"), 400);
     ck_assert_uint_eq(request_as_caller("/a/1", ""), 200);
+    /* Odd rows of another program must hide no member. */
+    store_odd_members();
+    ck_assert_uint_eq(request_as_caller("/a/1", ""), 200);
     /* A new configuration must be adopted, also if the store lost history. */
     ck_assert_uint_eq(request_status(deployment.store_port, "POST", "/control",
                                      NULL, "{\"forget_history\": true}"),
