--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -36,7 +36,9 @@
     const char *error;
     /* HTTP status; 0 if none was received. */
     uint16_t status;
-    /* All header lines of the answer, each ended by CR LF. */
+    /*
+     * All header lines of the answer, each ended by CR LF, without trailers.
+     */
     char *headers;
     GBytes *body;
     int64_t latency_us;
@@ -55,10 +57,11 @@
     GBytes *body;
     /*
      * Header that identifies the answers to this request; NULL for none. A
-     * successful answer must have the header with the value `echo_value`; no
-     * answer may have it with another value. An answer that breaks this rule
-     * belongs to another request: the connection is closed and the request
-     * ends as BV_HTTP_BROKEN.
+     * successful answer, and any answer on a connection that was used before,
+     * must have the header with the value `echo_value`; no answer may have it
+     * with another value. An answer that breaks this rule belongs to another
+     * request: the connection is closed and the request ends as
+     * BV_HTTP_BROKEN.
      */
     char *echo_name;
     char *echo_value;
@@ -67,7 +70,10 @@
     /* Connections that were idle for longer are not reused; 0 for no limit. */
     uint32_t idle_limit_s;
     int64_t timeout_us;
-    /* A longer body makes the request end as BV_HTTP_BROKEN. */
+    /*
+     * A longer body makes the request end as BV_HTTP_BROKEN, as do endless
+     * header lines.
+     */
     size_t answer_limit_bytes;
     /*
      * Called once, on the thread that runs the client. The answer and what its
@@ -82,6 +88,13 @@
     uint32_t ring_capacity;
     /* Most connections that are kept open for reuse. */
     uint32_t kept_connections;
+    /*
+     * Limit of the bodies of all unfinished answers; 0 for none. When it is
+     * reached, an answer that goes on and whose body is longer than an equal
+     * part of the limit ends as BV_HTTP_BROKEN. The bodies together take twice
+     * the limit at most.
+     */
+    size_t answers_limit_bytes;
     /*
      * The client has no thread. One thread of the user makes all calls of the
      * client's functions, and calls bv_http_client_run() when
@@ -115,6 +128,9 @@
  */
 int64_t bv_http_client_next_timer_us(const bv_http_client_t *client);
 
+/* Returns the size of the bodies of all unfinished answers. */
+size_t bv_http_client_received_bytes(const bv_http_client_t *client);
+
 /* Handles socket events and expired timers without blocking. */
 void bv_http_client_run(bv_http_client_t *client);
 
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -26,6 +26,8 @@
 #define PORTS 7
 #define STATE_TIMEOUT_US (60 * BV_US_PER_S)
 #define POLL_US 20000
+/* Longer than a node with few members waits between two scans. */
+#define SCANS_US (3 * BV_US_PER_S)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define GOSSIP_KEY                                                            \
     "0000000000000000000000000000000000000000000000000000000000000000"
@@ -59,6 +61,7 @@
 enum {
     MODE_SERVE,
     MODE_REFUSE,
+    MODE_REFUSE_WITHOUT_ID,
     MODE_WRONG_ID,
 };
 
@@ -138,8 +141,14 @@
     bv_reply_t reply = {.status = 200};
     char *headers =
         g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
+    char *refusal =
+        g_strdup_printf("Request-Id: %s\r\nNot-Executed: 1\r\n", id);
     switch (g_atomic_int_get(&node->mode)) {
     case MODE_REFUSE:
+        reply.status = 503;
+        reply.headers = refusal;
+        break;
+    case MODE_REFUSE_WITHOUT_ID:
         reply.status = 503;
         reply.headers = "Not-Executed: 1\r\n";
         break;
@@ -154,6 +163,7 @@
     reply.body = g_bytes_new_static("whole", 5);
     bv_call_reply(call, &reply);
     g_bytes_unref(reply.body);
+    g_free(refusal);
     g_free(headers);
     g_free(id);
     return true;
@@ -200,6 +210,41 @@
     g_free(config);
 }
 
+/* Rows of the members' table that no node writes, by their JSON. */
+static const char *const odd_members[] = {
+    "[[[[[[[[",
+    "{\"name\":99999999999999999999}",
+    "{\"name\":\"n-7\",\"data_centre\":\"z\",\"region\":\"r\","
+    "\"address\":\"some.host.example\",\"peer_port\":70000,"
+    "\"gossip_port\":0,\"incarnation\":1,\"version\":1,\"slots\":1,"
+    "\"state\":\"alive\",\"generation\":1}",
+    "{\"name\":\"n-1\",\"data_centre\":\"z\",\"region\":\"r\","
+    "\"address\":\"127.0.0.1\",\"peer_port\":1,\"gossip_port\":1,"
+    "\"incarnation\":9223372036854775807,\"version\":4294967295,"
+    "\"slots\":0,\"state\":\"alive\",\"generation\":1}",
+};
+
+/* Writes odd rows, and waits until all nodes have read the table. */
+static void
+store_odd_members(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_members); i++) {
+        char *encoded = g_base64_encode((const guchar *)odd_members[i],
+                                        strlen(odd_members[i]));
+        char *body = g_strdup_printf(
+            "{\"ExpectedRevision\":[],\"Writes\":[{\"Table\":\"member\","
+            "\"part\":\"\",\"Key\":\"odd-%zu\",\"Value\":\"%s\"}],"
+            "\"Remove\":[]}",
+            i, encoded);
+        ck_assert_uint_eq(request_status(deployment.store_port, "POST",
+                                         "/v1/rows-tx", NULL, body),
+                          200);
+        g_free(body);
+        g_free(encoded);
+    }
+    usleep(SCANS_US);
+}
+
 static char *
 write_settings(size_t node_index)
 {
@@ -413,11 +458,13 @@
                                      NULL),
                       400);
     /*
-     * A refusal by the target must reach the caller; an answer with another
-     * request id must not.
+     * A refusal by the target must reach the caller; a refusal without a
+     * request id on a kept connection, and an answer with another id must not.
      */
     g_atomic_int_set(&back->mode, MODE_REFUSE);
     ck_assert_uint_eq(request_as_caller("/a/1", ""), 503);
+    g_atomic_int_set(&back->mode, MODE_REFUSE_WITHOUT_ID);
+    ck_assert_uint_eq(request_as_caller("/a/1", ""), 504);
     g_atomic_int_set(&back->mode, MODE_WRONG_ID);
     ck_assert_uint_eq(request_as_caller("/a/1", "") / 100, 5);
     g_atomic_int_set(&back->mode, MODE_SERVE);
@@ -425,6 +472,9 @@
     /* An invalid heartbeat must be refused and leave the target announced. */
     ck_assert_uint_eq(send_heartbeat(1, "asleep"), 400);
     ck_assert_uint_eq(request_as_caller("/a/1", ""), 200);
+    /* Odd rows of another program must hide no member. */
+    store_odd_members();
+    ck_assert_uint_eq(request_as_caller("/a/1", ""), 200);
     /* A new configuration must be adopted, also if the store lost history. */
     ck_assert_uint_eq(request_status(deployment.store_port, "POST", "/control",
                                      NULL, "{\"forget_history\": true}"),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -172,6 +172,8 @@
      true, BV_ANNOUNCED_DRAINING},
     {"/v1/instances/i-7/deregister", "", true, BV_ANNOUNCED_LEFT},
     {"/v1/instances//deregister", "", false, BV_ANNOUNCED_READY},
+    {"/v1/instances/deregister", "", false, BV_ANNOUNCED_READY},
+    {"/v1/instances/heartbeat", "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "[1]", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD, false,
@@ -256,6 +258,28 @@
      ",\"VirtualHosts\":[{\"Hostname\":\"h\",\"Paths\":[{\"Name\":\"one\","
      "\"Type\":\"maybe\",\"Prefix\":\"/x/\",\"Service\":\"a\"}]}]}",
      "type"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"TimeoutMs\":1.5"),
+     "whole number"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"TimeoutMs\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"MaxAttempts\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"TargetLatencyMs\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\","
+           "\"Priority\":9223372036854775807"),
+     NULL},
+    {ROUTE("\"Prefix\":\"/x/\",\"WeightedServices\":[{\"Service\":\"a\","
+           "\"Weight\":-1}]"),
+     "not below 0"},
+    {"{\"Version\":\"r0\"," SERVICES ",\"VirtualHosts\":[]}", "Version"},
+    {"{\"Version\":\"r-1\"," SERVICES ",\"VirtualHosts\":[]}", "Version"},
+    {"{\"Version\":\"r99999999999999999999\"," SERVICES
+     ",\"VirtualHosts\":[]}",
+     "Version"},
     {"{\"Version\":7," SERVICES ",\"VirtualHosts\":[]}", "Version"},
     {"{\"Version\":\"r7\"," SERVICES "}", "VirtualHosts"},
     {"{}", "Version"},
