Space the queries of the configuration's watch

Cause: each answer ended the pause, and since a failed watch is followed by a read, a store that refuses watches and serves reads was queried twice in each shortest pause by every node.

Evidence: tests/test_config_load failed in 10 of 24 cases: 18,666 queries a second at 1,600 nodes against 2,000 that the store allows.

Change: two queries of a node are 2 ms apart for each node of the group, which bounds all nodes together to 500 a second.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -19,6 +19,12 @@
  */
 #define TIMEOUT_MIN_US (BV_US_PER_S / 2)
 #define TIMEOUT_MAX_US (4 * BV_US_PER_S)
+/*
+ * Least time between two queries of a node, for each node of the group: all
+ * nodes together send at most 500 queries a second, whatever the store
+ * answers.
+ */
+#define QUERY_SPACING_PER_NODE_US (2 * BV_US_PER_MS)
 #define RETRY_PAUSE_MIN_US (BV_US_PER_S / 5)
 #define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
 
@@ -40,7 +46,8 @@
 bool
 bv_config_watch_is_due(const bv_config_watch_t *watch, int64_t now_us)
 {
-    return !watch->is_querying && now_us >= watch->due_us;
+    return !watch->is_querying &&
+           now_us >= MAX(watch->due_us, watch->allowed_us);
 }
 
 void
@@ -50,6 +57,7 @@
 {
     watch->is_querying = true;
     watch->sent_us = now_us;
+    watch->allowed_us = now_us + nodes * QUERY_SPACING_PER_NODE_US;
     watch->timeout_us =
         CLAMP(watch->timeout_us, TIMEOUT_MIN_US, TIMEOUT_MAX_US);
     *query = (bv_config_query_t){
@@ -102,9 +110,7 @@
         }
         watch->pause_us = 0;
         watch->timeout_us /= 2;
-        /* The pause bounds the reads of a store that states no version. */
-        watch->due_us =
-            now_us + (watch->known.version == 0 ? RETRY_PAUSE_MIN_US : 0);
+        watch->due_us = now_us;
         watch->answered_us = now_us;
         watch->failures = 0;
         return;
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -61,6 +61,8 @@
 typedef struct {
     /* When the next query is due. */
     int64_t due_us;
+    /* Before this time no query is sent, so that the store is not flooded. */
+    int64_t allowed_us;
     /* Current pause after a failed query; doubles with each failure. */
     int64_t pause_us;
     /* Current time limit of an answer. */
