--- a/include/berylvane/platform/answer.h
+++ b/include/berylvane/platform/answer.h
@@ -1,6 +1,9 @@
 #ifndef BERYLVANE_PLATFORM_ANSWER_H
 #define BERYLVANE_PLATFORM_ANSWER_H
 
+#include "berylvane/common/http_client.h"
+#include "berylvane/platform/store.h"
+
 #include <jansson.h>
 #include <stddef.h>
 
@@ -16,4 +19,10 @@
  */
 json_t *bv_answer_parse(const char *text, size_t size);
 
+/*
+ * Classifies an HTTP answer. With a status by which the platform refuses a
+ * request, nothing was done. After an unlisted status the outcome is unknown.
+ */
+bv_store_result_t bv_answer_classify(const bv_http_answer_t *answer);
+
 #endif
