Tests: a fixture of nodes in the platform's dialect

Callers: no change.

Cause: what starts nodes and store stood in test_platform alone; tests of a store that falls silent or goes back need the same.

Change: tests/e2e/platform_fixture; the steps and checks of test_platform are as they were.

--- /dev/null
+++ b/tests/e2e/platform_fixture.c
@@ -0,0 +1,342 @@
+#include "platform_fixture.h"
+
+#include "berylvane/common/clock.h"
+#include "berylvane/common/headers.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define POLL_US 20000
+#define CALL_TIMEOUT_US (5 * BV_US_PER_S)
+#define RENDEZVOUS_DEFAULT_MS 120000
+#define GOSSIP_KEY                                                            \
+    "0000000000000000000000000000000000000000000000000000000000000000"
+
+/* Returns a port that was free when it was asked for. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
+    getsockname(fd, (struct sockaddr *)&address, &size);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+static pid_t
+start_program(const char *const arguments[])
+{
+    GPid pid;
+    GError *error = NULL;
+    gboolean started =
+        g_spawn_async(NULL, (char **)arguments, NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
+                      NULL, NULL, &pid, &error);
+    ck_assert_msg(started, "%s", error != NULL ? error->message : "");
+    return pid;
+}
+
+bv_http_reply_t
+platform_request(uint16_t port, const char *method, const char *path,
+                 const char *headers, const char *body)
+{
+    char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+    bv_http_call_t request = {
+        .method = method,
+        .url = url,
+        .headers = headers,
+        .body = body != NULL ? g_bytes_new(body, strlen(body)) : NULL,
+        .timeout_us = CALL_TIMEOUT_US,
+    };
+    bv_http_reply_t reply = bv_http_call(&request);
+    g_clear_pointer(&request.body, g_bytes_unref);
+    g_free(url);
+    return reply;
+}
+
+uint16_t
+platform_request_status(uint16_t port, const char *method, const char *path,
+                        const char *headers, const char *body)
+{
+    bv_http_reply_t reply =
+        platform_request(port, method, path, headers, body);
+    uint16_t status = reply.status;
+    bv_http_reply_clear(&reply);
+    return status;
+}
+
+/* Answers a call as the target does, and stores the name of the caller. */
+static bool
+answer_call(void *context, bv_call_t *call)
+{
+    platform_node_t *node = context;
+    char *id = bv_headers_get(call->headers, "Request-Id");
+    char *caller = bv_headers_get(call->headers, "Caller-Service");
+    g_free(node->caller);
+    node->caller = caller;
+    bv_reply_t reply = {.status = 200};
+    char *headers =
+        g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
+    switch (g_atomic_int_get(&node->mode)) {
+    case PLATFORM_TARGET_REFUSE:
+        reply.status = 503;
+        reply.headers = "Not-Executed: 1\r\n";
+        break;
+    case PLATFORM_TARGET_WRONG_ID:
+        reply.headers = "Request-Id: other\r\nResponse-Signature: s\r\n";
+        break;
+    default:
+        reply.headers = headers;
+        g_atomic_int_inc(&node->served);
+        break;
+    }
+    reply.body = g_bytes_new_static("whole", 5);
+    bv_call_reply(call, &reply);
+    g_bytes_unref(reply.body);
+    g_free(headers);
+    g_free(id);
+    return true;
+}
+
+uint16_t
+platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
+                   const char *state)
+{
+    platform_node_t *node = &fixture->nodes[node_index];
+    char *body = g_strdup_printf(
+        "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
+        "\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":4},\"Status\":{"
+        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},\"born\":9}",
+        node->ports[PLATFORM_PORT_TARGET], node->service, state,
+        (unsigned int)++node->sequence);
+    char *path = g_strdup_printf("/v1/instances/i-%zu/heartbeat", node_index);
+    uint16_t status = platform_request_status(
+        node->ports[PLATFORM_PORT_CONTROL], "POST", path, NULL, body);
+    g_free(path);
+    g_free(body);
+    return status;
+}
+
+/* Writes a row and returns its version. */
+static int64_t
+write_row(const platform_fixture_t *fixture, const char *table,
+          const char *key, const char *value)
+{
+    char *encoded = g_base64_encode((guchar *)value, strlen(value));
+    char *body = g_strdup_printf(
+        "{\"ExpectedRevision\":[],\"Writes\":[{\"Table\":\"%s\",\"part\":\"\","
+        "\"Key\":\"%s\",\"Value\":\"%s\"}],\"Remove\":[]}",
+        table, key, encoded);
+    bv_http_reply_t reply = platform_request(fixture->store_port, "POST",
+                                             "/v1/rows-tx", NULL, body);
+    ck_assert_uint_eq(reply.status, 200);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    json_t *answer = json_loadb(text, size, 0, NULL);
+    int64_t version = json_integer_value(json_object_get(answer, "Ver"));
+    json_decref(answer);
+    bv_http_reply_clear(&reply);
+    g_free(body);
+    g_free(encoded);
+    return version;
+}
+
+int64_t
+platform_write_other_rows(const platform_fixture_t *fixture, size_t count)
+{
+    int64_t version = 0;
+    for (size_t i = 0; i < count; i++) {
+        version = write_row(fixture, "other", "row", "x");
+    }
+    return version;
+}
+
+int64_t
+platform_write_config(const platform_fixture_t *fixture, uint32_t version,
+                      const char *prefix)
+{
+    char *config = g_strdup_printf(
+        "{\"Version\":\"r%u\",\"Services\":[{\"Name\":\"front\"},{\"Name\":"
+        "\"back\"}],\"Limits\":{\"MaxHeaderBytes\":16384},\"VirtualHosts\":[{"
+        "\"Hostname\":\"h.example\",\"Paths\":[{\"Name\":\"one\",\"Prefix\":"
+        "\"%s\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"Priority\":1,"
+        "\"Service\":\"back\",\"MaxAttempts\":2}]}]}",
+        version, prefix);
+    int64_t row_version = write_row(fixture, "op", "config", config);
+    g_free(config);
+    return row_version;
+}
+
+void
+platform_control(const platform_fixture_t *fixture, const char *control)
+{
+    ck_assert_uint_eq(platform_request_status(fixture->store_port, "POST",
+                                              "/control", NULL, control),
+                      200);
+}
+
+static char *
+write_settings(const platform_fixture_t *fixture, size_t node_index)
+{
+    const platform_node_t *node = &fixture->nodes[node_index];
+    char *path =
+        g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
+    char *text = g_strdup_printf(
+        "{\"dialect\":\"platform\",\"name\":\"n-%zu\",\"service\":\"%s\","
+        "\"address\":\"127.0.0.1\",\"region\":\"r\",\"data_centre\":\"z\","
+        "\"outside\":\"127.0.0.1:%u\",\"control\":\"127.0.0.1:%u\",\"ready\":"
+        "\"127.0.0.1:%u\",\"operators\":\"127.0.0.1:%u\",\"peer_port\":%u,"
+        "\"gossip_port\":%u,\"platform_url\":\"http://127.0.0.1:%u\","
+        "\"gossip_key\":\"" GOSSIP_KEY "\",\"probe_interval_ms\":200,"
+        "\"drain_notice_ms\":200,\"rendezvous_ms\":%u,\"log_level\":"
+        "\"error\"}",
+        node_index, node->service, node->ports[PLATFORM_PORT_OUTBOUND],
+        node->ports[PLATFORM_PORT_CONTROL], node->ports[PLATFORM_PORT_READY],
+        node->ports[PLATFORM_PORT_OPERATORS], node->ports[PLATFORM_PORT_PEER],
+        node->ports[PLATFORM_PORT_GOSSIP], fixture->store_port,
+        fixture->rendezvous_ms != 0 ? fixture->rendezvous_ms
+                                    : RENDEZVOUS_DEFAULT_MS);
+    ck_assert(g_file_set_contents(path, text, -1, NULL));
+    g_free(text);
+    return path;
+}
+
+size_t
+platform_start_node(platform_fixture_t *fixture, const char *service)
+{
+    size_t node_index = fixture->node_count++;
+    ck_assert_uint_lt(node_index, PLATFORM_NODES_MAX);
+    platform_node_t *node = &fixture->nodes[node_index];
+    node->service = service;
+    for (int i = 0; i < PLATFORM_PORTS; i++) {
+        node->ports[i] = free_port();
+    }
+    bv_listener_options_t target = {
+        .address = "127.0.0.1",
+        .port = node->ports[PLATFORM_PORT_TARGET],
+        .on_call = answer_call,
+        .context = node,
+    };
+    node->target = bv_listener_start(&target, NULL);
+    ck_assert_ptr_nonnull(node->target);
+    char *settings = write_settings(fixture, node_index);
+    const char *const arguments[] = {E2E_BUILD "/node/berylvane-node", "-s",
+                                     settings, NULL};
+    node->pid = start_program(arguments);
+    g_free(settings);
+    return node_index;
+}
+
+uint16_t
+platform_call(const platform_fixture_t *fixture, size_t node_index,
+              const char *path, const char *extra_headers)
+{
+    char *headers = g_strdup_printf("Host: h.example\r\nRequest-Id: 7\r\n"
+                                    "Request-Deadline: 2000\r\n%s",
+                                    extra_headers);
+    uint16_t status = platform_request_status(
+        fixture->nodes[node_index].ports[PLATFORM_PORT_OUTBOUND], "GET", path,
+        headers, NULL);
+    g_free(headers);
+    return status;
+}
+
+void
+platform_wait_for_status(platform_fixture_t *fixture, size_t node_index,
+                         const char *path, uint16_t status)
+{
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    uint16_t last_status = 0;
+    while (last_status != status) {
+        ck_assert_msg(bv_clock_now_us() < end_us,
+                      "node %zu answered %s with %u, not %u", node_index, path,
+                      last_status, status);
+        for (size_t i = 0; i < fixture->node_count; i++) {
+            platform_heartbeat(fixture, i, "ready");
+        }
+        last_status = platform_call(fixture, node_index, path, "");
+        usleep(POLL_US);
+    }
+}
+
+void
+platform_start_store(platform_fixture_t *fixture)
+{
+    char port[8];
+    fixture->directory = g_dir_make_tmp("berylvane-XXXXXX", NULL);
+    fixture->store_port = free_port();
+    g_snprintf(port, sizeof(port), "%u", fixture->store_port);
+    const char *const arguments[] = {
+        E2E_BUILD "/standin/berylvane-standin-platform", "--port", port, NULL};
+    fixture->store_pid = start_program(arguments);
+}
+
+void
+platform_wait_for_store(const platform_fixture_t *fixture)
+{
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    while (platform_request_status(fixture->store_port, "GET",
+                                   "/v1/rows-get?Table=x", NULL,
+                                   NULL) != 200) {
+        ck_assert(bv_clock_now_us() < end_us);
+        usleep(POLL_US);
+    }
+}
+
+static void
+stop_node(const platform_fixture_t *fixture, platform_node_t *node,
+          size_t node_index)
+{
+    int status = -1;
+    waitpid(node->pid, &status, 0);
+    node->pid = 0;
+    ck_assert_int_eq(status, 0);
+    bv_listener_close(node->target);
+    bv_listener_stop(node->target);
+    g_free(node->caller);
+    char *path =
+        g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
+    remove(path);
+    g_free(path);
+}
+
+void
+platform_stop(platform_fixture_t *fixture)
+{
+    for (size_t i = 0; i < fixture->node_count; i++) {
+        kill(fixture->nodes[i].pid, SIGTERM);
+    }
+    for (size_t i = 0; i < fixture->node_count; i++) {
+        stop_node(fixture, &fixture->nodes[i], i);
+    }
+    kill(fixture->store_pid, SIGTERM);
+    waitpid(fixture->store_pid, NULL, 0);
+    fixture->store_pid = 0;
+    remove(fixture->directory);
+    g_free(fixture->directory);
+}
+
+void
+platform_kill_remaining(const platform_fixture_t *fixture)
+{
+    for (size_t i = 0; i < fixture->node_count; i++) {
+        if (fixture->nodes[i].pid > 0) {
+            kill(fixture->nodes[i].pid, SIGKILL);
+        }
+    }
+    if (fixture->store_pid > 0) {
+        kill(fixture->store_pid, SIGKILL);
+    }
+}
