Stand-in of the store: eras, copies, restores, silent connections

Callers: no change; this is for the tests of what they may see.

Cause: the stand-in knew no store that comes back from an older copy, and none whose connections fall silent while new ones work.

Change: the controls copy, restore, hold_watches and silence, the header Store-Era, and 410 for a feed from a version that was not given out. A restore closes the connections of calls that wait, as a store that was away does; watches that are held outlive it, which is the harsher reading. A call states when its connection was accepted, so that the stand-in knows which are silent. Controls with an error execute no action any more (forget_history did).

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -6,6 +6,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/headers.h"
 #include "berylvane/common/log.h"
+#include "connection.h"
 #include "pending_heads.h"
 #include "response.h"
 
@@ -133,18 +134,10 @@
     return status;
 }
 
-static int
-connection_fd(struct MHD_Connection *connection)
-{
-    return MHD_get_connection_info(connection,
-                                   MHD_CONNECTION_INFO_CONNECTION_FD)
-        ->connect_fd;
-}
-
 static int
 exchange_fd(const exchange_t *exchange)
 {
-    return connection_fd(exchange->connection);
+    return bv_connection_fd(exchange->connection);
 }
 
 static exchange_t *
@@ -216,6 +209,7 @@
     call->body = g_byte_array_free_to_bytes(exchange->received_body);
     exchange->received_body = NULL;
     call->arrived_us = bv_clock_now_us();
+    call->accepted_us = bv_connection_accepted_us(exchange->connection);
     g_atomic_int_inc(&exchange->listener->open_call_count);
     MHD_suspend_connection(exchange->connection);
     const bv_listener_options_t *options = &exchange->listener->options;
@@ -345,18 +339,19 @@
              void (*notify)(bv_disconnect_watch_t *watch, int fd))
 {
     if (listener->watch != NULL) {
-        notify(listener->watch, connection_fd(connection));
+        notify(listener->watch, bv_connection_fd(connection));
     }
 }
 
 /* Until the first head is complete, the header timeout applies. */
 static void
 on_connection_changed(void *context, struct MHD_Connection *connection,
-                      void **state, enum MHD_ConnectionNotificationCode code)
+                      void **socket_context,
+                      enum MHD_ConnectionNotificationCode code)
 {
-    (void)state;
     bv_listener_t *listener = context;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        bv_connection_mark_accepted(socket_context);
         MHD_set_connection_option(
             connection, MHD_CONNECTION_OPTION_TIMEOUT,
             (unsigned int)g_atomic_int_get(&listener->header_timeout_s));
--- a/include/berylvane/caller/call.h
+++ b/include/berylvane/caller/call.h
@@ -61,6 +61,8 @@
     GBytes *body;
     /* Monotonic time at which the whole call had been received. */
     int64_t arrived_us;
+    /* Monotonic time at which the call's connection was accepted. */
+    int64_t accepted_us;
     /*
      * Identifies the call in on_disconnect; unique in the process. 0 if the
      * listener has no on_disconnect.
--- a/include/berylvane/caller/dialect.h
+++ b/include/berylvane/caller/dialect.h
@@ -10,8 +10,9 @@
     /*
      * Reads the head of a call that arrived at a listener with the role
      * `role`. `lines` holds all header lines, each ended by CR LF; method and
-     * path of `call` are set. Sets all other members but body, arrived_us and
-     * tag. Returns 0, or the HTTP status that the call is refused with.
+     * path of `call` are set. Sets all other members but body, arrived_us,
+     * accepted_us and tag. Returns 0, or the HTTP status that the call is
+     * refused with.
      */
     uint16_t (*read_head)(void *context, bv_listener_role_t role,
                           const char *lines, bv_call_t *call);
--- a/standin/platform/service.c
+++ b/standin/platform/service.c
@@ -1,7 +1,6 @@
 #include "service.h"
 
 #include "berylvane/common/clock.h"
-#include "berylvane/common/findings.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +18,8 @@
     uint16_t status;
     GBytes *body;
     int64_t due_us;
+    /* The service's era when the call was executed; 0 states none. */
+    int64_t era;
 } pending_t;
 
 /* A call that waits for changes of a table, at most until `due_us`. */
@@ -26,31 +27,16 @@
     bv_call_t *call;
     GHashTable *query;
     int64_t due_us;
+    /* The service's era when the watch began. */
+    int64_t era;
 } watch_t;
 
-static const char *const modes[] = {"up", "down", "hang", NULL};
-
-static const bv_field_t control_fields[] = {
-    {.name = "mode",
-     .kind = BV_FIELD_CHOICE,
-     .offset = offsetof(service_t, mode),
-     .choices = modes},
-    {.name = "delay_ms",
-     .kind = BV_FIELD_INTEGER,
-     .offset = offsetof(service_t, delay_ms),
-     .maximum = 600000},
-    {.name = "lose_answers_percent",
-     .kind = BV_FIELD_INTEGER,
-     .offset = offsetof(service_t, lose_answers_percent),
-     .maximum = 100},
-    {.name = "refuse_percent",
-     .kind = BV_FIELD_INTEGER,
-     .offset = offsetof(service_t, refuse_percent),
-     .maximum = 100},
-    {.name = "forget_history",
-     .kind = BV_FIELD_BOOLEAN,
-     .offset = offsetof(service_t, forget_history)},
-    {NULL}};
+GHashTable *
+objects_create(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                 (GDestroyNotify)g_bytes_unref);
+}
 
 service_t *
 service_create(bv_ring_t *calls, guint32 seed)
@@ -59,10 +45,11 @@
     service->calls = calls;
     service->random = g_rand_new_with_seed(seed);
     service->rows = table_create();
-    service->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                             (GDestroyNotify)g_bytes_unref);
+    service->objects = objects_create();
+    service->era = 1;
     g_queue_init(&service->delayed_answers);
     g_queue_init(&service->watches);
+    g_queue_init(&service->silent_calls);
     return service;
 }
 
@@ -71,6 +58,7 @@
 {
     g_hash_table_destroy(service->rows);
     g_hash_table_destroy(service->objects);
+    backup_clear(service);
     g_rand_free(service->random);
     g_free(service);
 }
@@ -89,29 +77,66 @@
     return g_str_has_prefix(call->path, PUT_PREFIX);
 }
 
-static json_t *
-parse_body(const bv_call_t *call)
+json_t *
+service_parse_body(const bv_call_t *call)
 {
     gsize size;
     const char *text = g_bytes_get_data(call->body, &size);
     return json_loadb(text, size, 0, NULL);
 }
 
-static GBytes *
-handle_control(service_t *service, const bv_call_t *call, uint16_t *status)
+static void
+drop_watch(gpointer data)
+{
+    watch_t *watch = data;
+    bv_call_drop(watch->call);
+    g_hash_table_unref(watch->query);
+    g_free(watch);
+}
+
+static void
+drop_answer(gpointer data)
+{
+    pending_t *pending = data;
+    bv_call_drop(pending->call);
+    g_clear_pointer(&pending->body, g_bytes_unref);
+    g_free(pending);
+}
+
+void
+service_restore(service_t *service)
 {
-    json_t *request = parse_body(call);
-    bv_findings_t *findings = bv_findings_create();
-    bv_fields_read(request, control_fields, service, "control", "", findings);
-    *status = bv_findings_is_empty(findings) ? 200 : 400;
-    if (service->forget_history) {
-        service->forgotten_version = service->version;
-        service->forget_history = false;
+    backup_restore(service);
+    g_queue_clear_full(&service->delayed_answers, drop_answer);
+    if (!service->hold_watches) {
+        g_queue_clear_full(&service->watches, drop_watch);
+    }
+}
+
+static bool
+is_silent(const service_t *service, const bv_call_t *call)
+{
+    return call->accepted_us <= service->silent_until_us;
+}
+
+void
+service_silence(service_t *service)
+{
+    service->silent_until_us = bv_clock_now_us();
+    for (guint remaining = service->delayed_answers.length; remaining > 0;
+         remaining--) {
+        pending_t *pending = g_queue_pop_head(&service->delayed_answers);
+        g_queue_push_tail(&service->silent_calls, pending->call);
+        g_clear_pointer(&pending->body, g_bytes_unref);
+        g_free(pending);
+    }
+    for (guint remaining = service->watches.length; remaining > 0;
+         remaining--) {
+        watch_t *watch = g_queue_pop_head(&service->watches);
+        g_queue_push_tail(&service->silent_calls, watch->call);
+        g_hash_table_unref(watch->query);
+        g_free(watch);
     }
-    char *text = bv_findings_to_string(findings);
-    bv_findings_destroy(findings);
-    json_decref(request);
-    return g_bytes_new_take(text, strlen(text));
 }
 
 static GHashTable *
@@ -138,7 +163,7 @@
     GHashTable *query = parse_query(call->path);
     json_t *answer = NULL;
     if (is_path(call, TRANSACT_PATH)) {
-        json_t *request = parse_body(call);
+        json_t *request = service_parse_body(call);
         answer = table_transact(service, request, status);
         json_decref(request);
     }
@@ -175,7 +200,7 @@
 static GBytes *
 count_spans(service_t *service, const bv_call_t *call)
 {
-    json_t *root = parse_body(call);
+    json_t *root = service_parse_body(call);
     json_t *resource =
         json_array_get(json_object_get(root, "resourceSpans"), 0);
     json_t *scope = json_array_get(json_object_get(resource, "scopeSpans"), 0);
@@ -188,7 +213,7 @@
 execute_call(service_t *service, const bv_call_t *call, uint16_t *status)
 {
     if (strcmp(call->path, "/control") == 0) {
-        return handle_control(service, call, status);
+        return control_handle(service, call, status);
     }
     if (strcmp(call->path, "/stats") == 0) {
         return json_bytes(json_pack(
@@ -212,15 +237,26 @@
     return handle_table_call(service, call, status);
 }
 
+/* Answers a call; `era` 0 is not stated. The caller keeps `body`. */
 static void
-send_answer(pending_t *pending)
+reply_to(bv_call_t *call, uint16_t status, int64_t era, GBytes *body)
 {
+    char *headers =
+        g_strdup_printf("Store-Era: %" G_GINT64_FORMAT "\r\n", (gint64)era);
     bv_reply_t reply = {
-        .status = pending->status,
+        .status = status,
         .outcome = BV_OUTCOME_RAN,
-        .body = pending->body,
+        .headers = era != 0 ? headers : NULL,
+        .body = body,
     };
-    bv_call_reply(pending->call, &reply);
+    bv_call_reply(call, &reply);
+    g_free(headers);
+}
+
+static void
+send_answer(pending_t *pending)
+{
+    reply_to(pending->call, pending->status, pending->era, pending->body);
     g_clear_pointer(&pending->body, g_bytes_unref);
     g_free(pending);
 }
@@ -233,38 +269,55 @@
            g_str_has_prefix(call->path, "/v1/blob-");
 }
 
+/*
+ * Returns the changes that a watch waits for, or NULL if it continues. A watch
+ * of an earlier era waits on for a version that was not given out again.
+ */
+static json_t *
+watched_changes(const service_t *service, const watch_t *watch, bool is_due,
+                uint16_t *status)
+{
+    json_t *changes = table_changes(service, watch->query, status);
+    if (*status != 200 && watch->era != service->era && !is_due) {
+        json_decref(changes);
+        return NULL;
+    }
+    if (changes == NULL && is_due) {
+        changes = json_pack("{s:[], s:I}", "Rows", "Ver",
+                            (json_int_t)service->version);
+    }
+    return changes;
+}
+
 /*
  * Answers a watch if its table has changed, the requested history is not
  * available, its time has expired or the service is down. Answers no watch in
- * MODE_HANG. Returns false if the watch continues.
+ * MODE_HANG or while watches are held. Returns false if the watch continues.
  */
 static bool
 answer_watch(service_t *service, watch_t *watch, int64_t now_us)
 {
     uint16_t status = 200;
-    json_t *changes = NULL;
+    GBytes *body = NULL;
     if (service->mode == MODE_HANG) {
         return false;
     }
     if (service->mode == MODE_DOWN) {
         status = 503;
     }
+    else if (service->hold_watches) {
+        return false;
+    }
     else {
-        changes = table_changes(service, watch->query, &status);
-        if (changes == NULL && now_us < watch->due_us) {
-            return false;
-        }
+        json_t *changes =
+            watched_changes(service, watch, now_us >= watch->due_us, &status);
         if (changes == NULL) {
-            changes = json_pack("{s:[], s:I}", "Rows", "Ver",
-                                (json_int_t)service->version);
+            return false;
         }
+        body = json_bytes(changes);
     }
-    bv_reply_t reply = {.status = status, .outcome = BV_OUTCOME_RAN};
-    if (changes != NULL) {
-        reply.body = json_bytes(changes);
-    }
-    bv_call_reply(watch->call, &reply);
-    g_clear_pointer(&reply.body, g_bytes_unref);
+    reply_to(watch->call, status, service->era, body);
+    g_clear_pointer(&body, g_bytes_unref);
     g_hash_table_unref(watch->query);
     g_free(watch);
     return true;
@@ -288,6 +341,7 @@
     watch_t *watch = g_new0(watch_t, 1);
     watch->call = call;
     watch->query = parse_query(call->path);
+    watch->era = service->era;
     const char *wait_ms = g_hash_table_lookup(watch->query, "WaitMs");
     watch->due_us = bv_clock_now_us();
     if (wait_ms != NULL) {
@@ -300,6 +354,10 @@
 static void
 handle_call(service_t *service, bv_call_t *call)
 {
+    if (is_silent(service, call) && is_service_path(call)) {
+        g_queue_push_tail(&service->silent_calls, call);
+        return;
+    }
     if (is_path(call, WATCH_PATH) && service->mode != MODE_DOWN) {
         start_watch(service, call);
         return;
@@ -317,6 +375,7 @@
         pending->status = 500;
         g_clear_pointer(&pending->body, g_bytes_unref);
     }
+    pending->era = service->era;
     pending->due_us = bv_clock_now_us() + service->delay_ms * BV_US_PER_MS;
     g_queue_push_tail(&service->delayed_answers, pending);
 }
@@ -337,6 +396,12 @@
     }
 }
 
+static void
+drop_silent_calls(service_t *service)
+{
+    g_queue_clear_full(&service->silent_calls, (GDestroyNotify)bv_call_drop);
+}
+
 void
 service_run(service_t *service)
 {
@@ -353,6 +418,7 @@
     send_due_answers(service, true);
     service->mode = MODE_DOWN;
     answer_watches(service, bv_clock_now_us());
+    drop_silent_calls(service);
 }
 
 void
@@ -364,4 +430,5 @@
         handle_call(service, call);
     }
     send_due_answers(service, true);
+    drop_silent_calls(service);
 }
--- a/standin/platform/service.h
+++ b/standin/platform/service.h
@@ -36,6 +36,14 @@
     bool is_deleted;
 } row_t;
 
+/* What a restored service goes back to; no rows: there is no copy. */
+typedef struct {
+    GHashTable *rows;
+    GHashTable *objects;
+    int64_t version;
+    int64_t forgotten_version;
+} backup_t;
+
 typedef struct {
     /* Calls from the listener's thread. */
     bv_ring_t *calls;
@@ -46,11 +54,18 @@
     /* Answers that are delayed, and calls that wait for a change. */
     GQueue delayed_answers;
     GQueue watches;
+    /* Calls that are never answered; dropped when the service ends. */
+    GQueue silent_calls;
     GRand *random;
     /* The version of the last transaction. */
     int64_t version;
     /* The history of changes up to this version is no longer available. */
     int64_t forgotten_version;
+    /* Number of restores plus 1; answers state it. */
+    int64_t era;
+    backup_t backup;
+    /* Connections that were accepted up to this time are silent. */
+    int64_t silent_until_us;
     /*
      * Counters that GET /stats returns: reads and watches of rows and reads of
      * objects; well-formed transactions and writes of objects; trace spans.
@@ -65,8 +80,19 @@
     int64_t lose_answers_percent;
     /* Percentage of calls, but watches, that are answered 503 unexecuted. */
     int64_t refuse_percent;
-    /* Makes the history so far unavailable; resets itself. */
+    /*
+     * Watches are answered only when this is false again, and outlive a
+     * restore. Otherwise a restore closes their connections.
+     */
+    bool hold_watches;
+    /* Actions; each resets itself. Makes the history so far unavailable. */
     bool forget_history;
+    /* Takes a copy of rows, objects and versions; goes back to the last one.
+     */
+    bool copy;
+    bool restore;
+    /* Answers nothing more on the connections of this moment. */
+    bool silence;
     gint stopping;
 } service_t;
 
@@ -80,9 +106,43 @@
 /* Answers 503 to calls that arrived after service_run() returned. */
 void service_refuse_remaining(service_t *service);
 
+/* Returns the JSON body of a call, NULL if it is none. */
+json_t *service_parse_body(const bv_call_t *call);
+
+/*
+ * Goes back to the copy. Closes the connections of calls that wait for an
+ * answer, except watches that are held.
+ */
+void service_restore(service_t *service);
+
+/* Answers nothing on the connections of this moment, now or later. */
+void service_silence(service_t *service);
+
+/*
+ * Applies a call to /control and returns the findings. Executes the actions of
+ * a request only if it has no errors.
+ */
+GBytes *control_handle(service_t *service, const bv_call_t *call,
+                       uint16_t *status);
+
+/* Creates the empty set of objects: bodies by name. */
+GHashTable *objects_create(void);
+
+/* Replaces the copy of the service's rows, objects and versions. */
+void backup_take(service_t *service);
+
+/* Goes back to the copy, which must exist and is kept, and starts a new era.
+ */
+void backup_restore(service_t *service);
+bool backup_exists(const service_t *service);
+void backup_clear(service_t *service);
+
 /* Creates the empty set of rows. */
 GHashTable *table_create(void);
 
+/* Returns a deep copy of a set of rows. */
+GHashTable *table_copy(GHashTable *rows);
+
 /*
  * Table operations: each returns the JSON body of the answer, owned by the
  * caller, and changes `*status` if the HTTP status is not 200.
@@ -97,9 +157,10 @@
 
 /*
  * Returns the changes of a table after a version, or NULL if there are none.
- * Sets status 410 if the history after that version is unavailable.
+ * Sets status 410 if the history after that version is unavailable, or if the
+ * service has not reached that version.
  */
-json_t *table_changes(service_t *service, const GHashTable *query,
+json_t *table_changes(const service_t *service, const GHashTable *query,
                       uint16_t *status);
 
 #endif
--- a/standin/platform/table.c
+++ b/standin/platform/table.c
@@ -40,6 +40,26 @@
     return g_hash_table_new_full(hash_row, equal_rows, destroy_row, NULL);
 }
 
+GHashTable *
+table_copy(GHashTable *rows)
+{
+    GHashTable *copy = table_create();
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, rows);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const row_t *row = key;
+        row_t *row_copy = g_new0(row_t, 1);
+        row_copy->table = g_strdup(row->table);
+        row_copy->key = g_strdup(row->key);
+        row_copy->value = g_strdup(row->value);
+        row_copy->version = row->version;
+        row_copy->is_deleted = row->is_deleted;
+        g_hash_table_add(copy, row_copy);
+    }
+    return copy;
+}
+
 static const char *
 text_of(const json_t *object, const char *name)
 {
@@ -263,13 +283,18 @@
 }
 
 json_t *
-table_changes(service_t *service, const GHashTable *query, uint16_t *status)
+table_changes(const service_t *service, const GHashTable *query,
+              uint16_t *status)
 {
     int64_t after = g_ascii_strtoll(query_parameter(query, "after"), NULL, 10);
     if (after < service->forgotten_version) {
         *status = 410;
         return json_pack("{s:s}", "error", "history is gone");
     }
+    if (after > service->version) {
+        *status = 410;
+        return json_pack("{s:s}", "error", "version was not given out");
+    }
     GPtrArray *table_rows = rows_of(service, query_parameter(query, "Table"));
     g_ptr_array_sort(table_rows, compare_versions);
     json_t *rows = json_array();
