Write a member's row again when the store went back

Callers would have seen a node that started after a restore and found nobody: its calls to other services refused.

Cause: rows that nodes wrote since the copy are gone, and a node wrote its row again only after a rendezvous period of two minutes.

Evidence: tests/e2e/test_store_rows_lost failed on every run: a node without seeds knew 1 member, not 6.

Change: a new era makes each node write its row again, spread over 5 ms for each node of the group, that is to 200 writes a second.

--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -100,6 +100,8 @@
      * member's name; 0 for the first range.
      */
     uint32_t range_start;
+    /* This node leaves, and has deleted its row. */
+    bool is_withdrawn;
     /* At least one range of rows was read. */
     bool has_read_range;
     /* The range that starts at the lowest digest was read. */
@@ -382,6 +384,9 @@
 void bv_rendezvous_create(bv_node_t *node);
 void bv_rendezvous_tick(bv_node_t *node);
 
+/* Writes this node's row again, which the store may have lost. */
+void bv_rendezvous_renew(bv_node_t *node);
+
 /* Deletes this node's row, since the node leaves the cluster. */
 void bv_rendezvous_withdraw(bv_node_t *node);
 
--- a/node/node.c
+++ b/node/node.c
@@ -62,10 +62,10 @@
 static void
 handle_era(bv_node_t *node, void *data)
 {
-    (void)node;
     int64_t *era = data;
     bv_counter_add(BV_COUNT_STORE_RESTORES, 1);
     bv_log(BV_LOG_WARN, "store_restored", "era", BV_NUM(*era), NULL);
+    bv_rendezvous_renew(node);
     g_free(era);
 }
 
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -14,6 +14,11 @@
 #define FIRST_SCAN_RETRY_US (BV_US_PER_S / 4)
 #define FEW_MEMBERS_SCAN_US BV_US_PER_S
 #define SEED_PERIOD_US (BV_US_PER_S / 2)
+/*
+ * Rows that all nodes renew at once are spread over this time for each node,
+ * that is, to 200 writes a second.
+ */
+#define RENEWAL_SPACING_PER_NODE_US (5 * BV_US_PER_MS)
 #define JITTER_LOW 0.8
 #define JITTER_HIGH 1.2
 
@@ -167,6 +172,20 @@
     node->rendezvous.range_start = g_rand_int(node->random) | 1;
 }
 
+void
+bv_rendezvous_renew(bv_node_t *node)
+{
+    bv_rendezvous_t *rendezvous = &node->rendezvous;
+    if (rendezvous->is_withdrawn) {
+        return;
+    }
+    uint32_t nodes = bv_membership_count_present(node->membership) + 1;
+    int64_t spread_us = nodes * RENEWAL_SPACING_PER_NODE_US;
+    rendezvous->renew_due_us =
+        node->now_us +
+        (int64_t)(g_rand_double(node->random) * (double)spread_us);
+}
+
 void
 bv_rendezvous_withdraw(bv_node_t *node)
 {
@@ -174,6 +193,7 @@
     json_t *operations = json_array();
     json_array_append_new(operations, bv_store_op_drop(key));
     g_free(key);
+    node->rendezvous.is_withdrawn = true;
     node->rendezvous.renew_due_us = INT64_MAX;
     bv_store_write(node->store, operations, true, on_row_written, NULL);
 }
