End a watch that was sent before the store went back

Cause: a node that saw the new era in another answer left its open watch as it was.

Change: a new era makes the node leave its open watch and read the row; the end of a query that was left changes nothing.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -56,6 +56,7 @@
                             bv_config_query_t *query)
 {
     watch->is_querying = true;
+    watch->query_number++;
     watch->sent_us = now_us;
     watch->allowed_us = now_us + nodes * QUERY_SPACING_PER_NODE_US;
     watch->timeout_us =
@@ -125,6 +126,15 @@
     schedule_retry(watch, now_us, random);
 }
 
+void
+bv_config_watch_restart(bv_config_watch_t *watch, int64_t now_us)
+{
+    watch->is_querying = false;
+    watch->query_number++;
+    watch->known.version = 0;
+    watch->due_us = now_us;
+}
+
 int64_t
 bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us)
 {
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -73,6 +73,8 @@
      */
     bv_table_position_t known;
     bool is_querying;
+    /* Number of the last query; the end of an older one has no effect. */
+    uint64_t query_number;
     /* When the open query was sent. */
     int64_t sent_us;
     /* When the last answer came; 0 before the first one. */
@@ -100,6 +102,13 @@
                                    GRand *random, bv_config_answer_t answer,
                                    const bv_table_position_t *position);
 
+/*
+ * Leaves the open query, whose end must not be handled, and makes the row be
+ * read. For a store that is known to have begun a new era: a watch that was
+ * sent before misses changes until it ends.
+ */
+void bv_config_watch_restart(bv_config_watch_t *watch, int64_t now_us);
+
 /*
  * Returns the time since the last answer of the store, until which its word on
  * the configuration is known; -1 before the first answer.
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -11,7 +11,10 @@
 /* Time limit of a read beside the watch. */
 #define ROW_TIMEOUT_US (2 * BV_US_PER_S)
 
+/* A query, and its answer when that has come. */
 typedef struct {
+    bv_node_t *node;
+    uint64_t number;
     bv_config_answer_t answer;
     int64_t era;
     json_t *json;
@@ -76,9 +79,11 @@
         .version =
             json_integer_value(json_object_get(answer->json, "version")),
     };
-    report_end(node, answer);
-    bv_config_watch_handle_answer(&node->config_watch, node->now_us,
-                                  node->random, answer->answer, &position);
+    if (answer->number == node->config_watch.query_number) {
+        report_end(node, answer);
+        bv_config_watch_handle_answer(&node->config_watch, node->now_us,
+                                      node->random, answer->answer, &position);
+    }
     if (answer->answer == BV_CONFIG_ANSWER_OK) {
         handle_source_answer(node, answer->json);
     }
@@ -100,11 +105,11 @@
 static void
 on_answer(void *context, bv_store_answer_t *store_answer)
 {
-    watch_answer_t *answer = g_new0(watch_answer_t, 1);
+    watch_answer_t *answer = context;
     answer->answer = classify(store_answer);
     answer->era = store_answer->era;
     answer->json = bv_store_take_json(store_answer);
-    bv_node_post_blocking(context, handle_answer, answer);
+    bv_node_post_blocking(answer->node, handle_answer, answer);
 }
 
 static bool
@@ -115,17 +120,26 @@
         .timeout_us = query->timeout_us,
         .uses_fresh_connection = query->uses_fresh_connection,
     };
+    watch_answer_t *answer = g_new0(watch_answer_t, 1);
+    answer->node = node;
+    answer->number = node->config_watch.query_number;
+    bool is_sent;
     if (query->kind == BV_CONFIG_QUERY_READ) {
-        return bv_store_read(node->store, key, &options, on_answer, node);
+        is_sent = bv_store_read(node->store, key, &options, on_answer, answer);
+    }
+    else {
+        bv_store_watch_t watch = {
+            .table = g_strndup(key, strcspn(key, "/")),
+            .version = query->version,
+            .wait_us = query->wait_us,
+        };
+        is_sent =
+            bv_store_watch(node->store, &watch, &options, on_answer, answer);
+        g_free(watch.table);
+    }
+    if (!is_sent) {
+        g_free(answer);
     }
-    bv_store_watch_t watch = {
-        .table = g_strndup(key, strcspn(key, "/")),
-        .version = query->version,
-        .wait_us = query->wait_us,
-    };
-    bool is_sent =
-        bv_store_watch(node->store, &watch, &options, on_answer, node);
-    g_free(watch.table);
     return is_sent;
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -66,6 +66,7 @@
     bv_counter_add(BV_COUNT_STORE_RESTORES, 1);
     bv_log(BV_LOG_WARN, "store_restored", "era", BV_NUM(*era), NULL);
     bv_rendezvous_renew(node);
+    bv_config_watch_restart(&node->config_watch, node->now_us);
     g_free(era);
 }
 
--- a/tests/test_config_restored.c
+++ b/tests/test_config_restored.c
@@ -35,8 +35,14 @@
     int64_t sent_us;
     /* Number of the newest change that the node has received. */
     uint32_t known_change;
+    uint32_t nodes;
 } fixture_t;
 
+/* A group whose watches last as long as any. */
+#define MANY_NODES 100
+/* ConfigApplyMs: from the acknowledgement until a change is in force. */
+#define APPLY_US (2500 * BV_US_PER_MS)
+
 /* One drill; the counts are versions that writes to other rows take. */
 typedef struct {
     const char *name;
@@ -135,8 +141,9 @@
     if (!bv_config_watch_is_due(&fixture->watch, fixture->now_us)) {
         return;
     }
-    bv_config_watch_start_query(&fixture->watch, fixture->now_us, 1,
-                                fixture->random, &fixture->query);
+    bv_config_watch_start_query(&fixture->watch, fixture->now_us,
+                                fixture->nodes, fixture->random,
+                                &fixture->query);
     fixture->is_querying = true;
     fixture->sent_us = fixture->now_us;
     if (query->kind == BV_CONFIG_QUERY_WATCH &&
@@ -180,6 +187,7 @@
     fixture_t fixture = {
         .random = g_rand_new_with_seed(1),
         .now_us = BV_US_PER_S,
+        .nodes = 1,
         .store = {.newest = {.version = 400,
                              .era = drills[_i].states_era ? 1 : 0},
                   .states_era = drills[_i].states_era},
@@ -191,13 +199,45 @@
 }
 END_TEST
 
+static const guint32 deaf_seeds[] = {1, 2, 3, 4, 5, 6, 7, 8};
+
+/*
+ * Another answer of the store states the new era while a watch that was sent
+ * before is open. The node must not wait for the end of that watch.
+ */
+START_TEST(test_era_seen_elsewhere_ends_deaf_watch)
+{
+    fixture_t fixture = {
+        .random = g_rand_new_with_seed(deaf_seeds[_i]),
+        .now_us = BV_US_PER_S,
+        .nodes = MANY_NODES,
+        .store = {.newest = {.version = 400, .era = 1}, .states_era = true},
+    };
+    change_row(&fixture.store, 1);
+    copy_store(&fixture.store);
+    write_other_rows(&fixture.store, 100);
+    run(&fixture, BEFORE_US);
+    restore_store(&fixture.store);
+    change_row(&fixture.store, 2);
+    if (fixture.is_querying) {
+        fixture.is_querying = false;
+        bv_config_watch_restart(&fixture.watch, fixture.now_us);
+    }
+    run(&fixture, APPLY_US);
+    ck_assert_uint_eq(fixture.known_change, 2);
+    g_rand_free(fixture.random);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
-    const support_test_t tests[] = {{"change_with_reused_version_is_found",
-                                     test_change_with_reused_version_is_found,
-                                     G_N_ELEMENTS(drills)},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"change_with_reused_version_is_found",
+         test_change_with_reused_version_is_found, G_N_ELEMENTS(drills)},
+        {"era_seen_elsewhere_ends_deaf_watch",
+         test_era_seen_elsewhere_ends_deaf_watch, G_N_ELEMENTS(deaf_seeds)},
+        {NULL}};
     support_parse_arguments(argc, argv);
     return support_run("config_restored", tests);
 }
