Let the shortest watch end after 1 s, and give a source half a second

Cause: a change ends the watches of all nodes, and the next ones begin together. When the connections fall silent just then, no watch ends before 2 s, and a body whose member is silent comes a second after that.

Evidence: tests/test_config_watch, change_found_after_silence_of_new_watches, failed in groups of 6 to 1,600 nodes: none learns of the next change within 2.5 s.

Change: watches last 1 s or more in place of 2 s, and the next source of a body is asked after half a second in place of one.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -9,7 +9,7 @@
  * group detect the failure early and the store is not queried more often than
  * that needs.
  */
-#define WATCH_WAIT_MIN_US (2 * BV_US_PER_S)
+#define WATCH_WAIT_MIN_US BV_US_PER_S
 #define WATCH_WAIT_PER_NODE_US (BV_US_PER_S / 4)
 #define WATCH_WAIT_SMALLEST_MAX_US (3 * BV_US_PER_S)
 #define WATCH_WAIT_LARGEST_MAX_US (20 * BV_US_PER_S)
--- a/node/configs.c
+++ b/node/configs.c
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#define FETCH_TIMEOUT_US BV_US_PER_S
+#define FETCH_TIMEOUT_US (BV_US_PER_S / 2)
 /* Sources of versions that no member reported; no member has these names. */
 static const char OPERATOR_SOURCE[] = "(operator)";
 static const char ROW_SOURCE[] = "(row)";
--- a/tests/test_config_sources.c
+++ b/tests/test_config_sources.c
@@ -12,7 +12,7 @@
  */
 #define STEP_US (10 * BV_US_PER_MS)
 #define STORE_DELAY_US (100 * BV_US_PER_MS)
-/* Time that the node gives a source. */
+/* Twice the time that the node gives a source. */
 #define FETCH_TIMEOUT_US BV_US_PER_S
 /* ConfigApplyMs: from the acknowledgement until a change is in force. */
 #define APPLY_US (2500 * BV_US_PER_MS)
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -210,12 +210,40 @@
 }
 END_TEST
 
+static const struct {
+    uint32_t nodes;
+    guint32 seed;
+} woken_cases[] = {
+    {6, 2}, {24, 3}, {24, 4}, {24, 5}, {24, 6}, {100, 7}, {1600, 8}, {1600, 9},
+};
+
+/*
+ * A change has just ended all watches, so that the next ones begin together
+ * when the connections fall silent.
+ */
+START_TEST(test_change_found_after_silence_of_new_watches)
+{
+    group_t *group = group_create(woken_cases[_i].nodes, woken_cases[_i].seed);
+    group_run(group, SETTLE_US);
+    change_config(group);
+    group_run(group, BV_US_PER_S / 5);
+    silence_connections(group);
+    change_config(group);
+    group_run(group, APPLY_US);
+    ck_assert_uint_ge(count_informed(group), 1);
+    group_destroy(group);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const support_test_t tests[] = {
         {"change_found_after_silence", test_change_found_after_silence,
          G_N_ELEMENTS(silence_cases)},
+        {"change_found_after_silence_of_new_watches",
+         test_change_found_after_silence_of_new_watches,
+         G_N_ELEMENTS(woken_cases)},
         {"every_node_recovers", test_every_node_recovers,
          G_N_ELEMENTS(silence_cases)},
         {NULL}};
