Write the rows of claims again when the store went back

Callers of berylvane's own dialect could have had an order with their own key run twice, or be told what another attempt did, after a restore of the store. The users' platform has no claims.

Cause: writes named the revision of a row of the old era, which the store may have given to the row of another attempt; and rows that were lost were never written again, so that a repeat of the key started a second attempt.

Evidence: tests/test_claim_restored failed in 2 of 3 cases (the row of another attempt was overwritten or deleted).

Change: a new era makes a node drop unsent writes, forget all revisions and write the rows of its held and finished attempts again, unless another attempt has the key. The test tells the node of the restore as the node does now, and a second one checks that no other attempt starts.

--- a/core/claim_table.c
+++ b/core/claim_table.c
@@ -244,6 +244,57 @@
     claim_on_released(claims, now_us, claim);
 }
 
+static bool
+has_run(const claim_t *claim)
+{
+    return claim->state == CLAIM_COMPLETED &&
+           claim->result.outcome == BV_OUTCOME_RAN;
+}
+
+/*
+ * Handles the reply to a write that a restore of the table called for. A row
+ * of another attempt stays: this one has started and cannot be taken back.
+ */
+static void
+on_rewrite_reply(bv_claims_t *claims, claim_t *claim,
+                 const bv_claim_write_result_t *write_result)
+{
+    const bv_claim_row_t own = own_row(claims, claim);
+    if (write_result->status == BV_CLAIM_WRITTEN) {
+        claim->revision = write_result->revision;
+        return;
+    }
+    bool is_own = write_result->row_exists && write_result->is_row_readable &&
+                  bv_claim_row_is_same_attempt(&write_result->row, &own);
+    if (!is_own) {
+        return;
+    }
+    claim->revision = write_result->revision;
+    if (has_run(claim) && !write_result->row.ran) {
+        claim_send_write(claims, claim, BV_CLAIM_RESULT);
+    }
+}
+
+static void
+rewrite_row(bv_claims_t *claims, claim_t *claim)
+{
+    bool is_keyed = claim->ticket_serial == 0;
+    claim->revision = 0;
+    if (is_keyed && (claim->state == CLAIM_HELD || has_run(claim))) {
+        claim_send_write(claims, claim, BV_CLAIM_INSERT);
+    }
+}
+
+void
+bv_claims_handle_restore(bv_claims_t *claims)
+{
+    GList *all = g_hash_table_get_values(claims->claims);
+    for (GList *item = all; item != NULL; item = item->next) {
+        rewrite_row(claims, item->data);
+    }
+    g_list_free(all);
+}
+
 void
 bv_claims_write_done(bv_claims_t *claims, int64_t now_us, const char *key,
                      uint64_t sequence,
@@ -267,6 +318,8 @@
         return;
     case CLAIM_HELD:
     case CLAIM_COMPLETED:
+        on_rewrite_reply(claims, claim, write_result);
+        return;
     case CLAIM_OTHER_OWNER:
         return;
     }
--- a/include/berylvane/core/claim.h
+++ b/include/berylvane/core/claim.h
@@ -204,4 +204,12 @@
 /* Returns the number of keys in memory. */
 uint32_t bv_claims_count(const bv_claims_t *claims);
 
+/*
+ * Handles the return of the table service from an older copy of its data. Rows
+ * of this node may be gone, and their revisions may have been given to other
+ * rows, so that no write may use them. Writes the rows of attempts that are
+ * held or have run again, unless another attempt has the key by now.
+ */
+void bv_claims_handle_restore(bv_claims_t *claims);
+
 #endif
--- a/include/berylvane/node/keyed.h
+++ b/include/berylvane/node/keyed.h
@@ -30,6 +30,12 @@
 void bv_claim_writes_add(bv_node_t *node, const bv_claim_write_t *write);
 void bv_claim_writes_tick(bv_node_t *node);
 
+/*
+ * Drops the writes that were not sent yet, as if their replies were lost:
+ * their claims send them again with the revisions known by then.
+ */
+void bv_claim_writes_discard(bv_node_t *node);
+
 /*
  * Asks the owner of a claim's row for the state of its attempt; the answer
  * goes to bv_claims_owner_replied(). Returns false, and sends nothing, when
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -452,6 +452,10 @@
 void bv_keyed_destroy(bv_node_t *node);
 void bv_keyed_tick(bv_node_t *node);
 
+/* Writes the rows of this node's claims again, which the store may have lost.
+ */
+void bv_keyed_handle_restore(bv_node_t *node);
+
 /*
  * Creates the window of ticket serial numbers and loads the keys that sign and
  * verify tickets.
--- a/node/claim_writes.c
+++ b/node/claim_writes.c
@@ -178,6 +178,23 @@
     }
 }
 
+void
+bv_claim_writes_discard(bv_node_t *node)
+{
+    bv_claim_writes_t *writes = node->claim_writes;
+    GArray *discarded = writes->pending_writes;
+    const bv_claim_write_result_t no_reply = {.status = BV_CLAIM_NO_REPLY};
+    json_decref(writes->operations);
+    start_batch(writes);
+    for (guint i = 0; i < discarded->len; i++) {
+        const pending_write_t *pending =
+            &g_array_index(discarded, pending_write_t, i);
+        bv_claims_write_done(node->claims, node->now_us, pending->key,
+                             pending->sequence, &no_reply);
+    }
+    g_array_unref(discarded);
+}
+
 void
 bv_claim_writes_add(bv_node_t *node, const bv_claim_write_t *write)
 {
--- a/node/keyed.c
+++ b/node/keyed.c
@@ -256,3 +256,10 @@
     bv_claim_writes_tick(node);
     bv_key_peers_tick(node);
 }
+
+void
+bv_keyed_handle_restore(bv_node_t *node)
+{
+    bv_claim_writes_discard(node);
+    bv_claims_handle_restore(node->claims);
+}
--- a/node/node.c
+++ b/node/node.c
@@ -67,6 +67,7 @@
     bv_log(BV_LOG_WARN, "store_restored", "era", BV_NUM(*era), NULL);
     bv_rendezvous_renew(node);
     bv_config_watch_restart(&node->config_watch, node->now_us);
+    bv_keyed_handle_restore(node);
     g_free(era);
 }
 
--- a/tests/test_claim_restored.c
+++ b/tests/test_claim_restored.c
@@ -166,7 +166,7 @@
     restore_store(&fixture);
     begin_call(&fixture.nodes[1]);
     const bv_claim_row_t expected = fixture.stored.row;
-
+    bv_claims_handle_restore(fixture.nodes[0].claims);
     const bv_key_result_t result = {.outcome = outcomes[_i], .status = 200};
     bv_claims_settle(fixture.nodes[0].claims, 0, KEY, &result);
     ck_assert(fixture.stored.exists);
@@ -175,13 +175,44 @@
 }
 END_TEST
 
+/*
+ * A node that knows of the restore writes its row again, so that no other
+ * attempt starts, whether the call still runs or has run.
+ */
+START_TEST(test_row_of_started_attempt_is_written_again)
+{
+    fixture_t fixture = {0};
+    fixture_open(&fixture);
+    begin_call(&fixture.nodes[0]);
+    const bv_key_result_t result = {.outcome = BV_OUTCOME_RAN, .status = 200};
+    bool settles_before = _i == 1;
+    if (settles_before) {
+        bv_claims_settle(fixture.nodes[0].claims, 0, KEY, &result);
+    }
+    restore_store(&fixture);
+    bv_claims_handle_restore(fixture.nodes[0].claims);
+    const bv_claim_call_t call = {.key = KEY, .waiter = 1};
+    bv_claims_begin(fixture.nodes[1].claims, 0, &call);
+    ck_assert(!fixture.nodes[1].is_started);
+    if (!settles_before) {
+        bv_claims_settle(fixture.nodes[0].claims, 0, KEY, &result);
+    }
+    ck_assert(fixture.stored.exists);
+    ck_assert(fixture.stored.row.ran);
+    ck_assert_uint_eq(fixture.stored.row.incarnation, 1);
+    fixture_close(&fixture);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
-    const support_test_t tests[] = {{"row_of_other_attempt_is_kept",
-                                     test_row_of_other_attempt_is_kept,
-                                     G_N_ELEMENTS(outcomes)},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"row_of_other_attempt_is_kept", test_row_of_other_attempt_is_kept,
+         G_N_ELEMENTS(outcomes)},
+        {"row_of_started_attempt_is_written_again",
+         test_row_of_started_attempt_is_written_again, 2},
+        {NULL}};
     support_parse_arguments(argc, argv);
     return support_run("claim_restored", tests);
 }
