State by a flag whether a watch can resume, and split the end of a query

Callers: none are concerned.

Cause: version 0 meant both that a position is unknown and that the row is read next; a reader of the last changes stumbled over it.

Evidence: the review of these changes.

Change: has_position; a function for an answer and one for a failure; comments with the field's term, half-open connection.

Result: config_watch 26 of 26, config_restored 16 of 16, config_load 24 of 24, config_sources 10 of 10; no change of behaviour is meant.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -3,8 +3,8 @@
 #include "berylvane/common/clock.h"
 
 /*
- * Bounds of the time for which the store holds one watch. A connection that
- * fails silently is detected only after this time. Each node draws its time at
+ * Bounds of the time for which the store holds one watch. A half-open
+ * connection is detected only after this time. Each node draws its time at
  * random, and the largest one grows with the group, so that some nodes of any
  * group detect the failure early and the store is not queried more often than
  * that needs.
@@ -66,7 +66,7 @@
         .timeout_us = watch->timeout_us,
         .uses_fresh_connection = true,
     };
-    if (watch->known.version != 0) {
+    if (watch->has_position) {
         query->kind = BV_CONFIG_QUERY_WATCH;
         query->version = watch->known.version;
         query->wait_us = draw_wait_us(nodes, random);
@@ -92,11 +92,38 @@
 continues_known(const bv_config_watch_t *watch,
                 const bv_table_position_t *position)
 {
-    bool is_read = watch->known.version == 0;
+    bool is_read = !watch->has_position;
     return is_read || (position->era == watch->known.era &&
                        position->version >= watch->known.version);
 }
 
+static void
+handle_success(bv_config_watch_t *watch, int64_t now_us,
+               const bv_table_position_t *position)
+{
+    watch->has_position =
+        position->version != 0 && continues_known(watch, position);
+    watch->known = *position;
+    watch->pause_us = 0;
+    watch->timeout_us /= 2;
+    watch->due_us = now_us;
+    watch->answered_us = now_us;
+    watch->failures = 0;
+}
+
+/*
+ * The row is read next: a read is answered at once, so that it shows soon
+ * whether the store can be reached again.
+ */
+static void
+handle_failure(bv_config_watch_t *watch, int64_t now_us, GRand *random)
+{
+    watch->has_position = false;
+    watch->failures++;
+    watch->timeout_us *= 2;
+    schedule_retry(watch, now_us, random);
+}
+
 void
 bv_config_watch_handle_answer(bv_config_watch_t *watch, int64_t now_us,
                               GRand *random, bv_config_answer_t answer,
@@ -104,26 +131,11 @@
 {
     watch->is_querying = false;
     if (answer == BV_CONFIG_ANSWER_OK) {
-        bool must_read = !continues_known(watch, position);
-        watch->known = *position;
-        if (must_read) {
-            watch->known.version = 0;
-        }
-        watch->pause_us = 0;
-        watch->timeout_us /= 2;
-        watch->due_us = now_us;
-        watch->answered_us = now_us;
-        watch->failures = 0;
-        return;
+        handle_success(watch, now_us, position);
+    }
+    else {
+        handle_failure(watch, now_us, random);
     }
-    watch->failures++;
-    /*
-     * The row is read next: a read is answered at once, so that it shows soon
-     * whether the store can be reached again.
-     */
-    watch->known.version = 0;
-    watch->timeout_us *= 2;
-    schedule_retry(watch, now_us, random);
 }
 
 void
@@ -131,7 +143,7 @@
 {
     watch->is_querying = false;
     watch->query_number++;
-    watch->known.version = 0;
+    watch->has_position = false;
     watch->due_us = now_us;
 }
 
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -14,11 +14,11 @@
  * failed the row is read again, after a pause that grows with each failure.
  *
  * The row is also read again when an answer shows that the store has come back
- * from an older copy of its data: its versions are then given out again, and a
+ * from an older copy of its data: it then issues versions a second time, and a
  * watch that resumes from an old one misses changes.
  *
- * A connection can fall silent without being closed, and then so do all that
- * are open. Each query therefore needs a connection of its own.
+ * Connections can become half-open, all at the same time. Each query therefore
+ * needs a connection of its own.
  */
 typedef enum {
     /* Read the row. */
@@ -67,11 +67,10 @@
     int64_t pause_us;
     /* Current time limit of an answer. */
     int64_t timeout_us;
-    /*
-     * Position up to which changes have been received; at version 0 the row is
-     * read instead of watched.
-     */
+    /* Position up to which changes have been received. */
     bv_table_position_t known;
+    /* Whether a watch can resume from `known`; otherwise the row is read. */
+    bool has_position;
     bool is_querying;
     /* Number of the last query; the end of an older one has no effect. */
     uint64_t query_number;
@@ -110,8 +109,8 @@
 void bv_config_watch_restart(bv_config_watch_t *watch, int64_t now_us);
 
 /*
- * Returns the time since the last answer of the store, until which its word on
- * the configuration is known; -1 before the first answer.
+ * Returns the time since the store last answered a query; -1 before the first
+ * answer.
  */
 int64_t bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us);
 
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -80,6 +80,7 @@
             json_integer_value(json_object_get(answer->json, "version")),
     };
     if (answer->number == node->config_watch.query_number) {
+        /* The line states the failures and the age before this answer. */
         report_end(node, answer);
         bv_config_watch_handle_answer(&node->config_watch, node->now_us,
                                       node->random, answer->answer, &position);
