Name the fetcher's read after the store, not after one of its services

Callers: none are concerned.

Cause: where a row holds the configuration, read_object() read that row.

Evidence: the review of these changes.

Change: the callback is read_from_store; the last header is formatted.

--- a/core/config_fetcher.c
+++ b/core/config_fetcher.c
@@ -176,7 +176,7 @@
     bool is_members_turn = fetcher->requests % 2 == 0;
     fetcher->requests++;
     if (!is_members_turn || !request_from_next_member(fetcher)) {
-        options->ops->read_object(options->context, &fetcher->wanted);
+        options->ops->read_from_store(options->context, &fetcher->wanted);
     }
 }
 
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -105,8 +105,8 @@
     bool is_threadless;
     /*
      * After a request that timed out, connections that were open then are not
-     * used again, since they may be half-open too. A server that is merely slow
-     * loses its kept connections as well.
+     * used again, since they may be half-open too. A server that is merely
+     * slow loses its kept connections as well.
      */
     bool distrusts_kept_after_timeout;
 } bv_http_client_options_t;
--- a/include/berylvane/core/config_fetcher.h
+++ b/include/berylvane/core/config_fetcher.h
@@ -36,10 +36,12 @@
      */
     void (*read_head)(void *context);
     /*
-     * Starts a read of a bundle in the object store. A read that succeeds
-     * calls bv_config_fetcher_handle_bundle(); one that fails calls nothing.
+     * Starts a read of a version's bundle from the store. A read that succeeds
+     * calls bv_config_fetcher_handle_bundle(), or
+     * bv_config_fetcher_handle_offer() if it may bring another version; one
+     * that fails calls nothing.
      */
-    void (*read_object)(void *context, const bv_config_version_t *version);
+    void (*read_from_store)(void *context, const bv_config_version_t *version);
     /* Puts a bundle in force; false if the bundle is invalid on this node. */
     bool (*adopt)(void *context, const bv_config_version_t *version,
                   GBytes *body);
--- a/node/configs.c
+++ b/node/configs.c
@@ -176,7 +176,7 @@
  * holds the configuration in another form, that row is read.
  */
 static void
-read_object(void *context, const bv_config_version_t *version)
+read_from_store(void *context, const bv_config_version_t *version)
 {
     bv_node_t *node = context;
     if (node->dialect->config_source != NULL) {
@@ -280,7 +280,7 @@
 static const bv_config_fetcher_ops_t fetcher_ops = {
     .request_from_member = request_from_member,
     .read_head = read_head,
-    .read_object = read_object,
+    .read_from_store = read_from_store,
     .adopt = parse_and_adopt,
     .report_conflict = report_conflict,
 };
--- a/tests/test_config_fetcher.c
+++ b/tests/test_config_fetcher.c
@@ -266,7 +266,7 @@
 
 /* The store sometimes serves an older object than the requested one. */
 static void
-read_object(void *context, const bv_config_version_t *version)
+read_from_store(void *context, const bv_config_version_t *version)
 {
     node_t *node = context;
     cluster_t *cluster = node->cluster;
@@ -325,7 +325,7 @@
 }
 
 static const bv_config_fetcher_ops_t ops = {
-    request_from_member, read_head, read_object, adopt, fail_on_conflict};
+    request_from_member, read_head, read_from_store, adopt, fail_on_conflict};
 
 static void
 start_node(node_t *node)
