Let no watch last longer than a change may take

Cause: watches were as long as the group allows that any node finds a half-open connection and tells the others. When the store turns all but one of 24 nodes away, that one is alone, and its watch lasted up to 6 s.

Change: the longest wait of a watch is at most the time in which a change has to be in force, a setting that the platform's dialect takes from the bounds.

--- a/core/config_watch.c
+++ b/core/config_watch.c
@@ -29,18 +29,23 @@
 #define RETRY_PAUSE_MAX_US (2 * BV_US_PER_S)
 
 int64_t
-bv_config_watch_longest_wait_us(uint32_t nodes)
+bv_config_watch_longest_wait_us(const bv_config_watch_t *watch, uint32_t nodes)
 {
-    return CLAMP(nodes * WATCH_WAIT_PER_NODE_US, WATCH_WAIT_SMALLEST_MAX_US,
-                 WATCH_WAIT_LARGEST_MAX_US);
+    int64_t longest_us =
+        CLAMP(nodes * WATCH_WAIT_PER_NODE_US, WATCH_WAIT_SMALLEST_MAX_US,
+              WATCH_WAIT_LARGEST_MAX_US);
+    if (watch->wait_limit_us == 0) {
+        return longest_us;
+    }
+    return CLAMP(watch->wait_limit_us, WATCH_WAIT_MIN_US, longest_us);
 }
 
 static int64_t
-draw_wait_us(uint32_t nodes, GRand *random)
+draw_wait_us(const bv_config_watch_t *watch, uint32_t nodes, GRand *random)
 {
-    int64_t max_us = bv_config_watch_longest_wait_us(nodes);
-    return (int64_t)g_rand_double_range(random, WATCH_WAIT_MIN_US,
-                                        (double)max_us);
+    int64_t max_us = bv_config_watch_longest_wait_us(watch, nodes);
+    return WATCH_WAIT_MIN_US + (int64_t)(g_rand_double(random) *
+                                         (double)(max_us - WATCH_WAIT_MIN_US));
 }
 
 bool
@@ -69,7 +74,7 @@
     if (watch->has_position) {
         query->kind = BV_CONFIG_QUERY_WATCH;
         query->version = watch->known.version;
-        query->wait_us = draw_wait_us(nodes, random);
+        query->wait_us = draw_wait_us(watch, nodes, random);
     }
 }
 
--- a/include/berylvane/core/config_watch.h
+++ b/include/berylvane/core/config_watch.h
@@ -57,8 +57,15 @@
     BV_CONFIG_ANSWER_FAILED,
 } bv_config_answer_t;
 
-/* State of the watch; starts as zeros. */
+/* State of the watch; starts as zeros but for `wait_limit_us`. */
 typedef struct {
+    /*
+     * Longest wait of a watch, set by the user: the time in which a change has
+     * to be in force. A node may be the only one that the store serves, and
+     * then finds a half-open connection only by the end of its own watch. 0 if
+     * there is no limit.
+     */
+    int64_t wait_limit_us;
     /* When the next query is due. */
     int64_t due_us;
     /* Before this time no query is sent, so that the store is not flooded. */
@@ -115,6 +122,7 @@
 int64_t bv_config_watch_age_us(const bv_config_watch_t *watch, int64_t now_us);
 
 /* Returns the longest time of a watch in a group of `nodes`. */
-int64_t bv_config_watch_longest_wait_us(uint32_t nodes);
+int64_t bv_config_watch_longest_wait_us(const bv_config_watch_t *watch,
+                                        uint32_t nodes);
 
 #endif
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -77,6 +77,8 @@
     int64_t probe_interval_ms;
     int64_t suspect_timeout_ms;
     int64_t config_poll_ms;
+    /* Time in which a change has to be in force; 0 if not stated. */
+    int64_t config_apply_ms;
     /* Period in which this node's table row is renewed and others are read. */
     int64_t rendezvous_ms;
     int64_t store_timeout_ms;
--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -181,7 +181,8 @@
 int64_t
 bv_config_watch_interval_us(const bv_node_t *node)
 {
-    return bv_config_watch_longest_wait_us(count_nodes(node));
+    return bv_config_watch_longest_wait_us(&node->config_watch,
+                                           count_nodes(node));
 }
 
 void
@@ -191,6 +192,8 @@
     if (!bv_config_watch_is_due(&node->config_watch, node->now_us)) {
         return;
     }
+    node->config_watch.wait_limit_us =
+        node->settings->config_apply_ms * BV_US_PER_MS;
     bv_config_watch_start_query(&node->config_watch, node->now_us,
                                 count_nodes(node), node->random, &query);
     if (!send_query(node, &query)) {
--- a/node/settings.c
+++ b/node/settings.c
@@ -76,6 +76,7 @@
     NUMBER("probe_interval_ms", probe_interval_ms, false, 50, 60000),
     NUMBER("suspect_timeout_ms", suspect_timeout_ms, false, 100, 600000),
     NUMBER("config_poll_ms", config_poll_ms, false, 100, 600000),
+    NUMBER("config_apply_ms", config_apply_ms, false, 0, 600000),
     NUMBER("rendezvous_ms", rendezvous_ms, false, 100, 3600000),
     NUMBER("store_timeout_ms", store_timeout_ms, false, 50, 60000),
     NUMBER("claim_window_ms", claim_window_ms, false, 0, 1000),
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -36,6 +36,8 @@
     GRand *random;
     node_t *nodes;
     uint32_t node_count;
+    /* Number of nodes that each node takes part in the group. */
+    uint32_t watching_nodes;
     int64_t now_us;
     int64_t version;
     int64_t changed_us;
@@ -48,6 +50,7 @@
     group->random = g_rand_new_with_seed(seed);
     group->nodes = g_new0(node_t, node_count);
     group->node_count = node_count;
+    group->watching_nodes = node_count;
     group->version = 1;
     group->now_us = BV_US_PER_S;
     return group;
@@ -115,7 +118,7 @@
         }
         if (bv_config_watch_is_due(&node->watch, group->now_us)) {
             bv_config_watch_start_query(&node->watch, group->now_us,
-                                        group->node_count, group->random,
+                                        group->watching_nodes, group->random,
                                         &node->query);
             send_query(group, node);
         }
@@ -235,6 +238,31 @@
 }
 END_TEST
 
+/* ContactMs: after it a node has to keep its promises again. */
+#define CONTACT_US (4 * BV_US_PER_S)
+
+static const guint32 lone_seeds[] = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12};
+
+/*
+ * The store turns all nodes but one away, so that this one has to find the
+ * silence of its watch by itself, although it counts itself one of a group.
+ */
+START_TEST(test_served_node_finds_change_alone)
+{
+    group_t *group = group_create(24, lone_seeds[_i]);
+    group->node_count = 1;
+    group->nodes[0].watch.wait_limit_us = APPLY_US;
+    group->watching_nodes = 24;
+    group_run(group, SETTLE_US);
+    silence_connections(group);
+    group_run(group, CONTACT_US - APPLY_US);
+    change_config(group);
+    group_run(group, APPLY_US);
+    ck_assert_uint_eq(count_informed(group), 1);
+    group_destroy(group);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -244,6 +272,8 @@
         {"change_found_after_silence_of_new_watches",
          test_change_found_after_silence_of_new_watches,
          G_N_ELEMENTS(woken_cases)},
+        {"served_node_finds_change_alone", test_served_node_finds_change_alone,
+         G_N_ELEMENTS(lone_seeds)},
         {"every_node_recovers", test_every_node_recovers,
          G_N_ELEMENTS(silence_cases)},
         {NULL}};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -327,16 +327,19 @@
     json_int_t shared_reserve;
     int64_t drain_limit_ms;
     int64_t drain_notice_ms;
+    int64_t config_apply_ms;
 } bound_case_t;
 
 static const bound_case_t bound_cases[] = {
-    {"[]", 14, 0, 9000, 2800},
+    {"[]", 14, 0, 9000, 2800, 0},
+    {"[\"ConfigApplyMs=2500\"]", 14, 0, 9000, 2800, 2500},
+    {"[\"ConfigApplyMs=soon\"]", 14, 0, 9000, 2800, 0},
     {"[\"RetryBudgetRatio=0.2\", \"BudgetSlack=50\", \"GraceS=6\"]", 18, 48,
-     5150, 2800},
-    {"[\"GraceS=3\"]", 14, 0, 2150, 1182},
-    {"[\"BudgetSlackX=9\", \"BudgetSlack=x\", 4, \"GraceS=0.5\"]", 14, 0, 0,
+     5150, 2800, 0},
+    {"[\"GraceS=3\"]", 14, 0, 2150, 1182, 0},
+    {"[\"BudgetSlackX=9\", \"BudgetSlack=x\", 4, \"GraceS=0.5\"]", 14, 0, 0, 0,
      0},
-    {"[\"BudgetSlack=1\", \"RetryBudgetRatio=0.01\"]", 0, 1, 9000, 2800},
+    {"[\"BudgetSlack=1\", \"RetryBudgetRatio=0.01\"]", 0, 1, 9000, 2800, 0},
 };
 
 START_TEST(test_apply_bounds)
@@ -364,6 +367,7 @@
         row->shared_reserve);
     ck_assert_int_eq(bounded_settings.drain_limit_ms, row->drain_limit_ms);
     ck_assert_int_eq(bounded_settings.drain_notice_ms, row->drain_notice_ms);
+    ck_assert_int_eq(bounded_settings.config_apply_ms, row->config_apply_ms);
     json_decref(bundle);
     json_decref(value);
     bv_findings_destroy(findings);
