--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/gauges.h"
 #include "berylvane/common/log.h"
+#include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
--- a/node/configs.c
+++ b/node/configs.c
@@ -1,3 +1,4 @@
+#include "berylvane/node/configs.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/gauges.h"
--- a/node/loop.c
+++ b/node/loop.c
@@ -1,4 +1,5 @@
 #include "berylvane/common/clock.h"
+#include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
 
 #include <sys/epoll.h>
--- a/node/members.c
+++ b/node/members.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
--- a/node/node.c
+++ b/node/node.c
@@ -1,4 +1,5 @@
 #include "berylvane/node/node.h"
+#include "berylvane/node/configs.h"
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
--- a/node/peers.c
+++ b/node/peers.c
@@ -1,4 +1,5 @@
 #include "berylvane/common/counters.h"
+#include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
--- a/node/status.c
+++ b/node/status.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/gauges.h"
 #include "berylvane/core/config_freshness.h"
+#include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
 
 #include <stdlib.h>
