--- a/tests/test_http_silent.c
+++ b/tests/test_http_silent.c
@@ -3,20 +3,14 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/latch.h"
 #include "berylvane/common/program.h"
+#include "silent_server.h"
 #include "support.h"
 
-#include <arpa/inet.h>
-#include <poll.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 /*
  * Guards against requests that wait one after another for kept connections
  * which all fell silent together.
  */
-#define CONNECTIONS_LIMIT 16
-#define POLL_MS 20
+#define CONNECTIONS_LIMIT SILENT_SERVER_CONNECTIONS
 /* Expires in the case under test. */
 #define SHORT_TIMEOUT_US (300 * BV_US_PER_MS)
 /* Does not expire unless the request is lost. */
@@ -25,93 +19,6 @@
 #define LATER_US (3 * BV_US_PER_S)
 #define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
-typedef struct {
-    int listener;
-    struct pollfd sockets[CONNECTIONS_LIMIT];
-    nfds_t socket_count;
-    /* Requests are answered together when so many have arrived. */
-    gint answers_together;
-    /* Sockets with a lower index are not answered. */
-    gint silent_sockets;
-    gint is_stopping;
-} server_t;
-
-static void
-answer_all(server_t *server, bool has_request[CONNECTIONS_LIMIT])
-{
-    for (nfds_t i = 1; i < server->socket_count; i++) {
-        if (!has_request[i]) {
-            continue;
-        }
-        ssize_t sent =
-            send(server->sockets[i].fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
-        ck_assert_int_eq(sent, (ssize_t)strlen(ANSWER));
-        has_request[i] = false;
-    }
-}
-
-static gint
-receive_requests(server_t *server, bool has_request[CONNECTIONS_LIMIT])
-{
-    gint waiting = 0;
-    char buffer[4096];
-    for (nfds_t i = 1; i < server->socket_count; i++) {
-        struct pollfd *entry = &server->sockets[i];
-        if (entry->revents != 0 &&
-            recv(entry->fd, buffer, sizeof(buffer), MSG_DONTWAIT) <= 0) {
-            entry->events = 0;
-        }
-        else if (entry->revents != 0 &&
-                 (gint)i >= g_atomic_int_get(&server->silent_sockets)) {
-            has_request[i] = true;
-        }
-        waiting += has_request[i];
-    }
-    return waiting;
-}
-
-static gpointer
-run_server(gpointer data)
-{
-    server_t *server = data;
-    bool has_request[CONNECTIONS_LIMIT] = {false};
-    while (!g_atomic_int_get(&server->is_stopping)) {
-        poll(server->sockets, server->socket_count, POLL_MS);
-        gint waiting = receive_requests(server, has_request);
-        if (waiting >= g_atomic_int_get(&server->answers_together)) {
-            answer_all(server, has_request);
-        }
-        if (server->sockets[0].revents != 0 &&
-            server->socket_count < CONNECTIONS_LIMIT) {
-            server->sockets[server->socket_count++] = (struct pollfd){
-                .fd = accept(server->listener, NULL, NULL), .events = POLLIN};
-        }
-    }
-    for (nfds_t i = 0; i < server->socket_count; i++) {
-        close(server->sockets[i].fd);
-    }
-    return NULL;
-}
-
-static uint16_t
-server_listen(server_t *server)
-{
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    };
-    socklen_t size = sizeof(address);
-    server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    ck_assert_int_eq(bind(server->listener, (struct sockaddr *)&address, size),
-                     0);
-    ck_assert_int_eq(listen(server->listener, CONNECTIONS_LIMIT), 0);
-    getsockname(server->listener, (struct sockaddr *)&address, &size);
-    server->sockets[0] =
-        (struct pollfd){.fd = server->listener, .events = POLLIN};
-    server->socket_count = 1;
-    return ntohs(address.sin_port);
-}
-
 typedef struct {
     bv_latch_t *latch;
     bv_http_result_t result;
@@ -142,8 +49,7 @@
 static const gint kept_cases[] = {1, 2, 3, 8};
 
 typedef struct {
-    server_t server;
-    GThread *thread;
+    silent_server_t *server;
     apr_pool_t *pool;
     bv_http_client_t *client;
     char *url;
@@ -169,10 +75,9 @@
 static void
 fixture_start(fixture_t *fixture, gint kept)
 {
-    fixture->server.answers_together = kept;
-    uint16_t port = server_listen(&fixture->server);
-    fixture->url = g_strdup_printf("http://127.0.0.1:%u/a", port);
-    fixture->thread = g_thread_new("server", run_server, &fixture->server);
+    fixture->server = silent_server_start(ANSWER, kept);
+    fixture->url = g_strdup_printf("http://127.0.0.1:%u/a",
+                                   silent_server_port(fixture->server));
     fixture->pool = bv_program_start();
     bv_http_client_options_t options = {
         .ring_capacity = CONNECTIONS_LIMIT,
@@ -194,16 +99,14 @@
     for (gint i = 0; i < kept; i++) {
         ck_assert_int_eq(wait_for_result(&pending[i]), BV_HTTP_ANSWERED);
     }
-    g_atomic_int_set(&fixture->server.answers_together, 1);
-    g_atomic_int_set(&fixture->server.silent_sockets, kept + 1);
+    silent_server_silence(fixture->server, kept);
 }
 
 static void
 fixture_close(fixture_t *fixture)
 {
     bv_http_client_stop(fixture->client);
-    g_atomic_int_set(&fixture->server.is_stopping, 1);
-    g_thread_join(fixture->thread);
+    silent_server_stop(fixture->server);
     g_free(fixture->url);
     bv_program_stop(fixture->pool);
 }
