Tests of the watch's times know the limit of a deployment

Callers: none are concerned.

Cause: the watch got a limit while these tests were written.

Evidence: they did not compile.

Change: the tables have cases with a limit; the shortest wait and the spread are checked as before.

--- a/tests/test_config_offer.c
+++ b/tests/test_config_offer.c
@@ -165,7 +165,7 @@
 }
 
 static void
-read_object(void *context, const bv_config_version_t *version)
+read_from_store(void *context, const bv_config_version_t *version)
 {
     (void)context;
     (void)version;
@@ -206,7 +206,7 @@
 static const bv_config_fetcher_ops_t ops = {
     .request_from_member = request_from_member,
     .read_head = read_head,
-    .read_object = read_object,
+    .read_from_store = read_from_store,
     .adopt = adopt,
     .report_conflict = report_conflict,
 };
--- a/tests/test_config_watch_times.c
+++ b/tests/test_config_watch_times.c
@@ -20,17 +20,30 @@
 
 static const struct {
     uint32_t nodes;
+    int64_t wait_limit_us;
     int64_t longest_wait_us;
 } group_cases[] = {
-    {1, 3 * BV_US_PER_S},     {6, 3 * BV_US_PER_S},   {12, 3 * BV_US_PER_S},
-    {24, 6 * BV_US_PER_S},    {40, 10 * BV_US_PER_S}, {100, 20 * BV_US_PER_S},
-    {1600, 20 * BV_US_PER_S},
+    {1, 0, 3 * BV_US_PER_S},
+    {6, 0, 3 * BV_US_PER_S},
+    {12, 0, 3 * BV_US_PER_S},
+    {24, 0, 6 * BV_US_PER_S},
+    {40, 0, 10 * BV_US_PER_S},
+    {100, 0, 20 * BV_US_PER_S},
+    {1600, 0, 20 * BV_US_PER_S},
+    {24, 2 * BV_US_PER_S, 2 * BV_US_PER_S},
+    {1600, 17 * BV_US_PER_S, 17 * BV_US_PER_S},
+    {6, 17 * BV_US_PER_S, 3 * BV_US_PER_S},
+    {24, 1, SHORTEST_WAIT_US},
 };
 
 START_TEST(test_longest_wait_grows_with_group)
 {
-    ck_assert_int_eq(bv_config_watch_longest_wait_us(group_cases[_i].nodes),
-                     group_cases[_i].longest_wait_us);
+    const bv_config_watch_t watch = {
+        .wait_limit_us = group_cases[_i].wait_limit_us,
+    };
+    ck_assert_int_eq(
+        bv_config_watch_longest_wait_us(&watch, group_cases[_i].nodes),
+        group_cases[_i].longest_wait_us);
 }
 END_TEST
 
@@ -43,7 +56,11 @@
     int64_t most_us = 0;
     GRand *random = g_rand_new_with_seed(1);
     for (int i = 0; i < DRAWS; i++) {
-        bv_config_watch_t watch = {.known = known};
+        bv_config_watch_t watch = {
+            .known = known,
+            .has_position = true,
+            .wait_limit_us = group_cases[_i].wait_limit_us,
+        };
         bv_config_query_t query;
         bv_config_watch_start_query(&watch, BV_US_PER_S, group_cases[_i].nodes,
                                     random, &query);
