--- a/include/berylvane/platform/store.h
+++ b/include/berylvane/platform/store.h
@@ -17,7 +17,7 @@
  * BV_STORE_UNKNOWN.
  *
  * The store can come back from an older copy of its data. It then begins a new
- * era: writes since the copy are lost, and versions are given out again, so
+ * era: writes since the copy are lost, and versions are issued again, so
  * that they can be compared only within an era.
  */
 typedef struct bv_store bv_store_t;
--- a/standin/platform/service.c
+++ b/standin/platform/service.c
@@ -271,7 +271,7 @@
 
 /*
  * Returns the changes that a watch waits for, or NULL if it continues. A watch
- * of an earlier era waits on for a version that was not given out again.
+ * of an earlier era waits on for a version that was not issued again.
  */
 static json_t *
 watched_changes(const service_t *service, const watch_t *watch, bool is_due,
--- a/standin/platform/table.c
+++ b/standin/platform/table.c
@@ -293,7 +293,7 @@
     }
     if (after > service->version) {
         *status = 410;
-        return json_pack("{s:s}", "error", "version was not given out");
+        return json_pack("{s:s}", "error", "version was not issued");
     }
     GPtrArray *table_rows = rows_of(service, query_parameter(query, "Table"));
     g_ptr_array_sort(table_rows, compare_versions);
--- a/tests/e2e/test_store_restored.c
+++ b/tests/e2e/test_store_restored.c
@@ -27,7 +27,7 @@
 static const struct {
     const char *restore;
     size_t writes_before_query;
-} drills[] = {
+} restore_cases[] = {
     /* Watches outlive the restore; the store gets past their versions. */
     {"{\"restore\": true, \"hold_watches\": true}", 2 * OTHER_WRITES},
     /* Watches outlive the restore; the store does not get that far. */
@@ -38,7 +38,7 @@
 
 /*
  * Guards against nodes that never see a change whose version the store had
- * given out before it went back to a copy.
+ * issued before it went back to a copy.
  */
 START_TEST(test_versions_given_out_again)
 {
@@ -54,11 +54,11 @@
     platform_write_other_rows(&fixture, OTHER_WRITES);
     int64_t known = platform_write_config(&fixture, 2, "/b/");
     wait_at_all_nodes("/b/1");
-    platform_control(&fixture, drills[_i].restore);
+    platform_control(&fixture, restore_cases[_i].restore);
     ck_assert_int_le(platform_write_config(&fixture, 3, "/c/"), known);
-    int64_t newest =
-        platform_write_other_rows(&fixture, drills[_i].writes_before_query);
-    ck_assert(drills[_i].writes_before_query == 0 || newest > known);
+    int64_t newest = platform_write_other_rows(
+        &fixture, restore_cases[_i].writes_before_query);
+    ck_assert(restore_cases[_i].writes_before_query == 0 || newest > known);
     platform_control(&fixture, "{\"hold_watches\": false}");
     wait_at_all_nodes("/c/1");
     platform_stop(&fixture);
@@ -70,7 +70,7 @@
 {
     const support_test_t tests[] = {{"versions_given_out_again",
                                      test_versions_given_out_again,
-                                     G_N_ELEMENTS(drills)},
+                                     G_N_ELEMENTS(restore_cases)},
                                     {NULL}};
     bv_program_start();
     atexit(kill_remaining);
--- a/tests/e2e/test_store_silent.c
+++ b/tests/e2e/test_store_silent.c
@@ -24,7 +24,7 @@
 
 /*
  * Guards against nodes that never see a change that is written after their
- * connections to the store fell silent.
+ * connections to the store became half-open.
  */
 START_TEST(test_change_after_silence)
 {
--- a/tests/silent_server.h
+++ b/tests/silent_server.h
@@ -5,7 +5,7 @@
 
 /*
  * silent_server - HTTP server that keeps its connections open, and whose
- * connections can fall silent without being closed
+ * connections can become half-open
  */
 #define SILENT_SERVER_CONNECTIONS 16
 
--- a/tests/test_config_restored.c
+++ b/tests/test_config_restored.c
@@ -43,7 +43,7 @@
 /* ConfigApplyMs: from the acknowledgement until a change is in force. */
 #define APPLY_US (2500 * BV_US_PER_MS)
 
-/* One drill; the counts are versions that writes to other rows take. */
+/* One restore_case; the counts are versions that writes to other rows take. */
 typedef struct {
     const char *name;
     /* Between the copy and the end of the era. */
@@ -56,9 +56,9 @@
     /* Whether a watch that is open at the return stays open. */
     bool keeps_watches;
     bool states_era;
-} drill_t;
+} restore_case_t;
 
-static const drill_t drills[] = {
+static const restore_case_t restore_cases[] = {
     {"change below the version known", 100, 10, 200, 0, true, true},
     {"change below, watch cut", 100, 10, 200, 0, false, true},
     {"change below, store away", 100, 10, 200, 2 * BV_US_PER_S, false, true},
@@ -162,23 +162,23 @@
 }
 
 static void
-run_drill(fixture_t *fixture, const drill_t *drill)
+run_restore(fixture_t *fixture, const restore_case_t *restore_case)
 {
     store_t *store = &fixture->store;
     change_row(store, 1);
     copy_store(store);
-    write_other_rows(store, drill->lost_writes);
+    write_other_rows(store, restore_case->lost_writes);
     run(fixture, BEFORE_US);
     restore_store(store);
-    if (!drill->keeps_watches && fixture->is_querying) {
+    if (!restore_case->keeps_watches && fixture->is_querying) {
         end_query(fixture, BV_CONFIG_ANSWER_FAILED);
     }
-    fixture->now_us += drill->down_us;
+    fixture->now_us += restore_case->down_us;
     /* The operator writes again what it wrote. */
     change_row(store, 1);
-    write_other_rows(store, drill->writes_before_change);
+    write_other_rows(store, restore_case->writes_before_change);
     change_row(store, 2);
-    write_other_rows(store, drill->writes_after_change);
+    write_other_rows(store, restore_case->writes_after_change);
     run(fixture, AFTER_US);
 }
 
@@ -189,12 +189,12 @@
         .now_us = BV_US_PER_S,
         .nodes = 1,
         .store = {.newest = {.version = 400,
-                             .era = drills[_i].states_era ? 1 : 0},
-                  .states_era = drills[_i].states_era},
+                             .era = restore_cases[_i].states_era ? 1 : 0},
+                  .states_era = restore_cases[_i].states_era},
     };
-    run_drill(&fixture, &drills[_i]);
+    run_restore(&fixture, &restore_cases[_i]);
     ck_assert_msg(fixture.known_change == 2, "%s: change %u is known",
-                  drills[_i].name, fixture.known_change);
+                  restore_cases[_i].name, fixture.known_change);
     g_rand_free(fixture.random);
 }
 END_TEST
@@ -232,12 +232,13 @@
 int
 main(int argc, char **argv)
 {
-    const support_test_t tests[] = {
-        {"change_with_reused_version_is_found",
-         test_change_with_reused_version_is_found, G_N_ELEMENTS(drills)},
-        {"era_seen_elsewhere_ends_deaf_watch",
-         test_era_seen_elsewhere_ends_deaf_watch, G_N_ELEMENTS(deaf_seeds)},
-        {NULL}};
+    const support_test_t tests[] = {{"change_with_reused_version_is_found",
+                                     test_change_with_reused_version_is_found,
+                                     G_N_ELEMENTS(restore_cases)},
+                                    {"era_seen_elsewhere_ends_deaf_watch",
+                                     test_era_seen_elsewhere_ends_deaf_watch,
+                                     G_N_ELEMENTS(deaf_seeds)},
+                                    {NULL}};
     support_parse_arguments(argc, argv);
     return support_run("config_restored", tests);
 }
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -8,8 +8,8 @@
 
 /*
  * Runs the watches of a group of nodes in simulated time against a store whose
- * open connections fall silent, while new ones work. Guards against changes
- * that no node learns of in time because every one waits for a silent
+ * open connections become half-open, while new ones work. Guards against
+ * changes that no node learns of in time because every one waits for a silent
  * connection.
  */
 #define STEP_US (5 * BV_US_PER_MS)
@@ -26,7 +26,7 @@
     bool is_querying;
     bool is_over_silent_connection;
     int64_t answer_due_us;
-    /* Kept connections that fell silent and were not closed yet. */
+    /* Kept connections that became half-open and were not closed yet. */
     uint32_t silent_connections;
     int64_t version;
     uint64_t queries;
@@ -182,8 +182,9 @@
 };
 
 /*
- * All connections fall silent. One node at least must learn of the next change
- * within the time in which it has to be in force; gossip tells the others.
+ * All connections become half-open. One node at least must learn of the next
+ * change within the time in which it has to be in force; gossip tells the
+ * others.
  */
 START_TEST(test_change_found_after_silence)
 {
@@ -222,7 +223,7 @@
 
 /*
  * A change has just ended all watches, so that the next ones begin together
- * when the connections fall silent.
+ * when the connections become half-open.
  */
 START_TEST(test_change_found_after_silence_of_new_watches)
 {
--- a/tests/test_http_silent.c
+++ b/tests/test_http_silent.c
@@ -8,7 +8,7 @@
 
 /*
  * Guards against requests that wait one after another for kept connections
- * which all fell silent together.
+ * which all became half-open together.
  */
 #define CONNECTIONS_LIMIT SILENT_SERVER_CONNECTIONS
 /* Expires in the case under test. */
@@ -45,7 +45,7 @@
     ck_assert(bv_http_client_send(client, request));
 }
 
-/* Number of kept connections that fall silent. */
+/* Number of kept connections that become half-open. */
 static const gint kept_cases[] = {1, 2, 3, 8};
 
 typedef struct {
@@ -87,7 +87,7 @@
     fixture->client = bv_http_client_start(fixture->pool, &options);
 }
 
-/* Opens `kept` connections, which then fall silent. */
+/* Opens `kept` connections, which then become half-open. */
 static void
 fixture_open(fixture_t *fixture, gint kept)
 {
--- a/tests/test_store_silent.c
+++ b/tests/test_store_silent.c
@@ -8,7 +8,7 @@
 
 /*
  * Guards against operations of the store that wait one after another for kept
- * connections which all fell silent together.
+ * connections which all became half-open together.
  */
 #define RING_CAPACITY SILENT_SERVER_CONNECTIONS
 /* Expires in the case under test. */
@@ -56,7 +56,7 @@
     return pending.result;
 }
 
-/* Opens `kept` connections, which then fall silent. */
+/* Opens `kept` connections, which then become half-open. */
 static void
 fixture_open(fixture_t *fixture, int32_t kept)
 {
@@ -90,7 +90,7 @@
     bv_program_stop(fixture->pool);
 }
 
-/* Number of kept connections that fall silent. */
+/* Number of kept connections that become half-open. */
 static const int32_t kept_cases[] = {1, 2, 3, 8};
 
 START_TEST(test_only_one_read_waits_for_silent_connections)
