Test where the store is asked for a configuration

Callers saw nothing: a review undid read_from_store() of node/configs.c for the platform's dialect, and all tests still passed.

Cause: the turn of the store is tested in core/config_fetcher.c, which does not know where the store holds the configuration; end to end the watch delivers the row as well, a few seconds later, and no test bounds wall-clock time.

No product code changes.

--- a/tests/raw_server.c
+++ b/tests/raw_server.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define BACKLOG 64
+#define REQUEST_TIMEOUT_US G_TIME_SPAN_MINUTE
 
 struct raw_server {
     raw_server_options_t options;
@@ -16,6 +17,9 @@
     GThread *thread;
     gint requests;
     GMutex mutex;
+    /* First line of the first request; the mutex guards it. */
+    char *first_line;
+    GCond first_request;
     /* Threads of connections and their sockets; the mutex guards both. */
     GPtrArray *threads;
     GArray *sockets;
@@ -41,13 +45,28 @@
     return &server->options.replies[MIN(number, last)];
 }
 
+static void
+note_request(raw_server_t *server, const char *request, size_t size)
+{
+    g_mutex_lock(&server->mutex);
+    if (server->first_line == NULL) {
+        const char *end = memchr(request, '\r', size);
+        size_t length = end != NULL ? (size_t)(end - request) : size;
+        server->first_line = g_strndup(request, length);
+        g_cond_broadcast(&server->first_request);
+    }
+    g_mutex_unlock(&server->mutex);
+}
+
 /* Answers one request for each piece that arrives; requests are short. */
 static gpointer
 run_connection(gpointer data)
 {
     connection_t *connection = data;
     char request[4096];
-    while (recv(connection->fd, request, sizeof(request), 0) > 0) {
+    ssize_t size;
+    while ((size = recv(connection->fd, request, sizeof(request), 0)) > 0) {
+        note_request(connection->server, request, (size_t)size);
         const raw_reply_t *reply = next_reply(connection->server);
         if (!send_text(connection->fd, reply->bytes)) {
             break;
@@ -91,6 +110,7 @@
     socklen_t size = sizeof(address);
     server->options = *options;
     g_mutex_init(&server->mutex);
+    g_cond_init(&server->first_request);
     server->threads = g_ptr_array_new();
     server->sockets = g_array_new(FALSE, FALSE, sizeof(int));
     server->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -116,7 +136,9 @@
     }
     g_ptr_array_unref(server->threads);
     g_array_unref(server->sockets);
+    g_cond_clear(&server->first_request);
     g_mutex_clear(&server->mutex);
+    g_free(server->first_line);
     g_free(server);
 }
 
@@ -134,3 +156,18 @@
     g_mutex_unlock(&server->mutex);
     return connections;
 }
+
+char *
+raw_server_wait_for_request(raw_server_t *server)
+{
+    gint64 end_us = g_get_monotonic_time() + REQUEST_TIMEOUT_US;
+    bool is_waiting = true;
+    g_mutex_lock(&server->mutex);
+    while (server->first_line == NULL && is_waiting) {
+        is_waiting =
+            g_cond_wait_until(&server->first_request, &server->mutex, end_us);
+    }
+    char *first_line = g_strdup(server->first_line);
+    g_mutex_unlock(&server->mutex);
+    return first_line;
+}
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -34,4 +34,10 @@
 uint16_t raw_server_port(const raw_server_t *server);
 uint32_t raw_server_connections(raw_server_t *server);
 
+/*
+ * Waits for the first request and returns its first line, which the caller
+ * frees with g_free(); NULL if none arrives within a minute.
+ */
+char *raw_server_wait_for_request(raw_server_t *server);
+
 #endif
