Serve requests that a caller sends ahead on one connection side by side

What callers saw: a request sent behind another on one connection was read only when the first one's answer was out.

Cause: libmicrohttpd reads the next request of a connection only after the answer before it, and its interface cannot change that.

Change: the listener reads ahead up to a number and a size for each connection (settings read_ahead_requests, read_ahead_bytes), starts idempotent requests side by side and answers in their order; it stops reading where the bound is reached. core/pipeline decides, free of input and output: a caller sends again what stands behind an answer that closes, so an answer closes by choice only if nothing behind it was started, and what may run only once starts only behind written answers. The listener is built on http_parser, a parser without sockets, in place of libmicrohttpd; the ways weighed are in docs/decisions/pipelining.md. With it go the separate watch for callers that left and the work-around for doubled refusals. A connection is closed only after its input was discarded for a while, so that a reset does not destroy its last answer. A listener's port is no longer shared with a second process (SO_REUSEPORT).

Tests: pipeline (a table of steps, and a random run with the invariants), read_ahead (sockets: orders, refusals, closes, cuts at every byte, callers that leave, send without end or announce a body that never comes), rows in settings. On the code before 12 of the 15 rows of read_ahead's first table fail ("no call is passed on", "bodies are mixed"). The tables of malformed requests (framing, e2e_bad_input, e2e_bad_length) pass unchanged; the comment of e2e_bad_length no longer names the library.

Unit tests 49 of 49 under the address sanitizer; e2e_path, e2e_bad_input, e2e_bad_length, e2e_drain pass.

--- /dev/null
+++ b/caller/output.h
@@ -0,0 +1,31 @@
+#ifndef BERYLVANE_CALLER_OUTPUT_H
+#define BERYLVANE_CALLER_OUTPUT_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+/*
+ * output - bytes that are to be written to a socket
+ */
+typedef struct {
+    /* Queue of GBytes. */
+    GQueue chunks;
+    /* Bytes of the first chunk that were written. */
+    size_t offset;
+} bv_output_t;
+
+void bv_output_init(bv_output_t *output);
+void bv_output_clear(bv_output_t *output);
+
+/* Adds a chunk and takes over the reference; NULL adds nothing. */
+void bv_output_add(bv_output_t *output, GBytes *chunk);
+
+bool bv_output_is_empty(const bv_output_t *output);
+
+/*
+ * Writes what the socket takes without blocking. Returns the bytes written,
+ * or -1 if the connection is broken.
+ */
+ssize_t bv_output_write(bv_output_t *output, int fd);
+
+#endif
--- a/caller/response.c
+++ b/caller/response.c
@@ -2,40 +2,90 @@
 
 #include "berylvane/common/headers.h"
 
-static void
-add_header(void *context, const char *name, const char *value)
-{
-    MHD_add_response_header(context, name, value);
-}
+#include <http_parser.h>
+#include <string.h>
+
+#define STATUS_OK 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+/* Headers that frame the response or its connection. */
+static const char *const framing_headers[] = {
+    "Connection", "Keep-Alive", "Content-Length", "Transfer-Encoding"};
 
 static void
-unref_body(void *bytes)
+append_header(void *context, const char *name, const char *value)
 {
-    g_bytes_unref(bytes);
+    for (size_t i = 0; i < G_N_ELEMENTS(framing_headers); i++) {
+        if (g_ascii_strcasecmp(name, framing_headers[i]) == 0) {
+            return;
+        }
+    }
+    g_string_append_printf(context, "%s: %s\r\n", name, value);
 }
 
-static struct MHD_Response *
-create_response(GBytes *body)
+/* Whether a response with this status has a body (RFC 9110, section 6.4.1). */
+static bool
+has_body(uint16_t status)
 {
-    if (body == NULL) {
-        return MHD_create_response_from_buffer(0, "", MHD_RESPMEM_PERSISTENT);
-    }
-    gsize size;
-    const void *data = g_bytes_get_data(body, &size);
-    return MHD_create_response_from_buffer_with_free_callback_cls(
-        size, (void *)data, unref_body, g_bytes_ref(body));
+    return status >= STATUS_OK && status != STATUS_NO_CONTENT &&
+           status != STATUS_NOT_MODIFIED;
 }
 
-struct MHD_Response *
-bv_response_build(const bv_caller_dialect_t *dialect, const bv_reply_t *reply)
+bv_response_t *
+bv_response_build(const bv_caller_dialect_t *dialect, const bv_reply_t *reply,
+                  const char *method)
 {
-    struct MHD_Response *response = create_response(reply->body);
+    bv_response_t *response = g_new0(bv_response_t, 1);
+    size_t size = reply->body != NULL ? g_bytes_get_size(reply->body) : 0;
     GString *lines = g_string_new(reply->headers);
     dialect->write_head(dialect->context, reply, lines);
-    bv_headers_foreach(lines->str, add_header, response);
+    response->closes = reply->closes_connection;
+    response->head = g_string_new(NULL);
+    g_string_append_printf(response->head, "HTTP/1.1 %u %s\r\n", reply->status,
+                           http_status_str((enum http_status)reply->status));
+    bv_headers_foreach(lines->str, append_header, response->head);
     g_string_free(lines, TRUE);
-    if (reply->closes_connection) {
-        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    if (!has_body(reply->status)) {
+        return response;
+    }
+    g_string_append_printf(response->head, "Content-Length: %zu\r\n", size);
+    if (size > 0 && strcmp(method, "HEAD") != 0) {
+        response->body = g_bytes_ref(reply->body);
     }
     return response;
 }
+
+GBytes *
+bv_response_end_head(bv_response_t *response, bv_response_ending_t ending)
+{
+    static const char *const lines[] = {
+        [BV_RESPONSE_KEEPS] = "\r\n",
+        [BV_RESPONSE_STATES_KEEPING] = "Connection: keep-alive\r\n\r\n",
+        [BV_RESPONSE_CLOSES] = "Connection: close\r\n\r\n",
+    };
+    g_string_append(response->head, lines[ending]);
+    GBytes *head = g_string_free_to_bytes(response->head);
+    response->head = NULL;
+    return head;
+}
+
+size_t
+bv_response_size(const bv_response_t *response)
+{
+    return response->head->len +
+           (response->body != NULL ? g_bytes_get_size(response->body) : 0);
+}
+
+void
+bv_response_destroy(bv_response_t *response)
+{
+    if (response == NULL) {
+        return;
+    }
+    if (response->head != NULL) {
+        g_string_free(response->head, TRUE);
+    }
+    g_clear_pointer(&response->body, g_bytes_unref);
+    g_free(response);
+}
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -6,11 +6,15 @@
 /*
  * listener - HTTP server for calls of outside callers or of the local target
  *
- * Built on libmicrohttpd. A call is passed to on_call when its whole body has
- * been received; its connection is suspended until bv_call_reply(). A body
+ * A call is passed to on_call when its whole body has been received. A body
  * that exceeds the limit is refused with 413 and headers that exceed theirs
  * with 431; a truncated body ends the connection. None of these calls reaches
  * on_call.
+ *
+ * Further requests are read while a call is open, up to the read-ahead limits;
+ * core/pipeline decides when they start. Answers leave in the order of the
+ * requests. While a connection holds as much as the limits allow, nothing is
+ * read from it.
  */
 typedef struct bv_listener bv_listener_t;
 
@@ -18,10 +22,24 @@
 typedef struct {
     uint32_t header_bytes;
     uint32_t body_bytes;
-    /* Time from accepting a connection until its first head is complete. */
+    /*
+     * Time until a head is complete: from accepting a connection for the first
+     * one, from its first byte for a later one.
+     */
     int64_t header_timeout_us;
-    /* Time after which an idle connection is closed. */
+    /*
+     * Time without a byte in either direction after which a connection is
+     * closed that has no open call.
+     */
     int64_t idle_timeout_us;
+    /* Requests of a connection that are held at once; 1 reads nothing ahead.
+     */
+    uint32_t read_ahead_requests;
+    /*
+     * Bytes of a connection's requests and answers from which on no further
+     * request is read.
+     */
+    uint32_t read_ahead_bytes;
 } bv_listener_limits_t;
 
 typedef struct {
@@ -45,10 +63,16 @@
      */
     bool (*on_call)(void *context, bv_call_t *call);
     /*
-     * Called when the caller has closed its connection before the reply, at
-     * most once per call; the call must still be replied to. Runs on a
-     * separate thread unless the listener is threadless. NULL if disconnects
-     * do not matter.
+     * Whether a call may be passed on before the calls that its connection
+     * sent earlier are answered, which only an idempotent call may. Called on
+     * the listener's thread. NULL if no call may.
+     */
+    bool (*may_run_ahead)(void *context, const bv_call_t *call);
+    /*
+     * Called on the listener's thread when the caller has closed its
+     * connection, or its sending side, before the reply, at most once per
+     * call; the call must still be replied to. NULL if disconnects do not
+     * matter.
      */
     void (*on_disconnect)(void *context, uint64_t tag);
     void *context;
@@ -65,19 +89,14 @@
                                  GError **error);
 
 /*
- * A threadless listener must be run when its descriptor is readable, when the
- * monotonic time bv_listener_due_us() is reached, and after replies.
+ * A threadless listener must be run with bv_listener_run() when its descriptor
+ * is readable, and with bv_listener_run_due() when the monotonic time
+ * bv_listener_due_us() is reached, which is in the past after replies.
  */
 int bv_listener_fd(const bv_listener_t *listener);
 int64_t bv_listener_due_us(const bv_listener_t *listener);
 void bv_listener_run(bv_listener_t *listener);
-
-/*
- * Descriptor that is readable when callers have disconnected; -1 if there is
- * no on_disconnect. bv_listener_run_disconnects() then calls on_disconnect.
- */
-int bv_listener_disconnect_fd(const bv_listener_t *listener);
-void bv_listener_run_disconnects(bv_listener_t *listener);
+void bv_listener_run_due(bv_listener_t *listener);
 
 /* Changes the limits that are not 0. May be called from any thread. */
 void bv_listener_set_limits(bv_listener_t *listener,
@@ -95,6 +114,9 @@
 /* Whether every call that was passed to on_call has been replied to. */
 bool bv_listener_is_idle(const bv_listener_t *listener);
 
+/* Whether all answers of a threadless listener were written to its callers. */
+bool bv_listener_is_written(const bv_listener_t *listener);
+
 /* Stops and frees a listener, which must be closed and idle. */
 void bv_listener_stop(bv_listener_t *listener);
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -253,6 +253,13 @@
  */
 void bv_calls_receive(bv_node_t *node, void *call);
 
+/*
+ * Whether a call may start before the calls that its connection sent earlier
+ * are answered: its route is idempotent and the node is not draining.
+ * `context` is the node.
+ */
+bool bv_calls_may_run_ahead(void *context, const bv_call_t *call);
+
 /*
  * Handles a caller that disconnected before the answer. `tag` points to the
  * call's tag as a uint64_t and is freed.
@@ -396,6 +403,9 @@
  */
 void bv_node_apply_caller_limits(bv_node_t *node);
 
+/* Applies the limits of the settings to all listeners, then the configured. */
+void bv_node_apply_listener_settings(bv_node_t *node);
+
 /* keyed: at-most-once execution of non-idempotent calls. */
 void bv_keyed_create(bv_node_t *node);
 void bv_keyed_destroy(bv_node_t *node);
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -73,6 +73,9 @@
     /* A bv_log_level_t. */
     int64_t log_level;
     int64_t body_limit_bytes;
+    /* Bounds of what is read ahead from one caller's connection. */
+    int64_t read_ahead_requests;
+    int64_t read_ahead_bytes;
     int64_t trace_percent;
     int64_t probe_interval_ms;
     int64_t suspect_timeout_ms;
--- a/node/calls.c
+++ b/node/calls.c
@@ -312,6 +312,19 @@
     bv_keyed_begin(node, state);
 }
 
+bool
+bv_calls_may_run_ahead(void *context, const bv_call_t *call)
+{
+    const bv_node_t *node = context;
+    if (node->config == NULL || node->draining ||
+        call->kind != BV_CALL_REQUEST) {
+        return false;
+    }
+    const bv_route_t *route = bv_config_find_route(node->config, call->host,
+                                                   call->method, call->path);
+    return route != NULL && route->is_idempotent;
+}
+
 /*
  * A call with a key continues without its caller, because its result is stored
  * for the caller's retry. Other calls are cancelled.
--- a/node/loop.c
+++ b/node/loop.c
@@ -14,12 +14,10 @@
 
 /*
  * Values that identify the sources of the epoll set. A listener has the value
- * of its bv_listener_role_t. Its descriptor for disconnected callers has that
- * value plus SOURCE_DISCONNECTS.
+ * of its bv_listener_role_t.
  */
 enum {
-    SOURCE_DISCONNECTS = BV_LISTENER_ROLE_END,
-    SOURCE_EVENTS = SOURCE_DISCONNECTS + BV_LISTENER_ROLE_END,
+    SOURCE_EVENTS = BV_LISTENER_ROLE_END,
     SOURCE_LINK,
     SOURCE_LINK_BOUND,
     SOURCE_TARGET,
@@ -78,12 +76,7 @@
 void
 bv_loop_add_listener(bv_node_t *node, bv_listener_role_t role)
 {
-    const bv_listener_t *listener = node->listeners[role];
-    add_source(node, bv_listener_fd(listener), role);
-    int disconnect_fd = bv_listener_disconnect_fd(listener);
-    if (disconnect_fd >= 0) {
-        add_source(node, disconnect_fd, SOURCE_DISCONNECTS + role);
-    }
+    add_source(node, bv_listener_fd(node->listeners[role]), role);
 }
 
 static void
@@ -150,7 +143,7 @@
     for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
         bv_listener_t *listener = node->listeners[role];
         if (listener != NULL && bv_listener_due_us(listener) <= node->now_us) {
-            bv_listener_run(listener);
+            bv_listener_run_due(listener);
         }
     }
     if (bv_target_client_next_timer_us(node->target_client) <= node->now_us) {
@@ -185,16 +178,6 @@
     return (int)((left_us + BV_US_PER_MS - 1) / BV_US_PER_MS);
 }
 
-static void
-run_listener(bv_node_t *node, uint32_t source)
-{
-    if (source < SOURCE_DISCONNECTS) {
-        bv_listener_run(node->listeners[source]);
-        return;
-    }
-    bv_listener_run_disconnects(node->listeners[source - SOURCE_DISCONNECTS]);
-}
-
 static void
 run_source(bv_node_t *node, uint32_t source)
 {
@@ -213,7 +196,7 @@
         bv_target_client_run(node->target_client);
         return;
     default:
-        run_listener(node, source);
+        bv_listener_run(node->listeners[source]);
         return;
     }
 }
--- a/node/node.c
+++ b/node/node.c
@@ -27,19 +27,11 @@
     return bv_node_post(context, bv_calls_receive, call);
 }
 
-/*
- * Drops the notification when the ring is full. To wait for room could cause a
- * deadlock, since the watch of callers' connections holds a lock that the
- * decision thread takes with each reply. A call whose notification is dropped
- * merely runs on until its deadline.
- */
 static void
 on_caller_gone(void *context, uint64_t tag)
 {
-    uint64_t *copy = g_memdup2(&tag, sizeof(tag));
-    if (!bv_node_post(context, bv_calls_handle_caller_gone, copy)) {
-        g_free(copy);
-    }
+    bv_node_post(context, bv_calls_handle_caller_gone,
+                 g_memdup2(&tag, sizeof(tag)));
 }
 
 static bool
@@ -167,6 +159,16 @@
     return node->link != NULL;
 }
 
+static bv_listener_limits_t
+settings_limits(const bv_settings_t *settings)
+{
+    return (bv_listener_limits_t){
+        .body_bytes = (uint32_t)settings->body_limit_bytes,
+        .read_ahead_requests = (uint32_t)settings->read_ahead_requests,
+        .read_ahead_bytes = (uint32_t)settings->read_ahead_bytes,
+    };
+}
+
 static bool
 start_listener(bv_node_t *node, bv_listener_role_t role,
                const bv_endpoint_t *endpoint, GError **error)
@@ -177,11 +179,12 @@
         .address = endpoint->address,
         .port = endpoint->port,
         .role = role,
-        .limits = {.body_bytes = (uint32_t)node->settings->body_limit_bytes},
+        .limits = settings_limits(node->settings),
         .dialect = node->dialect->caller.read_head != NULL
                        ? &node->dialect->caller
                        : NULL,
         .on_call = on_call,
+        .may_run_ahead = takes_calls ? bv_calls_may_run_ahead : NULL,
         .on_disconnect = takes_calls ? on_caller_gone : NULL,
         .is_threadless = true,
         .context = node,
@@ -239,6 +242,20 @@
     }
 }
 
+void
+bv_node_apply_listener_settings(bv_node_t *node)
+{
+    bv_listener_limits_t limits = settings_limits(node->settings);
+    for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
+        if (node->listeners[role] != NULL) {
+            bv_listener_set_limits(node->listeners[role], &limits);
+        }
+    }
+    if (node->config != NULL) {
+        bv_node_apply_caller_limits(node);
+    }
+}
+
 bv_node_t *
 bv_node_create(apr_pool_t *pool, bv_settings_t *settings,
                const bv_dialect_t *dialect, GError **error)
--- a/node/reload.c
+++ b/node/reload.c
@@ -10,6 +10,7 @@
         node->dialect->derive_settings(node->dialect->context);
     }
     if (bv_findings_is_empty(findings)) {
+        bv_node_apply_listener_settings(node);
         bv_log(BV_LOG_INFO, "settings_reloaded", "file", node->settings->path,
                NULL);
     }
--- a/node/settings.c
+++ b/node/settings.c
@@ -72,6 +72,8 @@
      .offset = offsetof(bv_settings_t, log_level),
      .choices = log_level_names},
     NUMBER("body_limit_bytes", body_limit_bytes, false, 1024, 8388608),
+    NUMBER("read_ahead_requests", read_ahead_requests, false, 1, 64),
+    NUMBER("read_ahead_bytes", read_ahead_bytes, false, 1024, 8388608),
     NUMBER("trace_percent", trace_percent, false, 0, 100),
     NUMBER("probe_interval_ms", probe_interval_ms, false, 50, 60000),
     NUMBER("suspect_timeout_ms", suspect_timeout_ms, false, 100, 600000),
@@ -229,6 +231,8 @@
     settings->path = g_strdup(path);
     settings->log_level = 1;
     settings->body_limit_bytes = 1048576;
+    settings->read_ahead_requests = 8;
+    settings->read_ahead_bytes = 262144;
     settings->trace_percent = 100;
     settings->probe_interval_ms = 1000;
     settings->suspect_timeout_ms = 5000;
--- a/tests/e2e/test_bad_length.c
+++ b/tests/e2e/test_bad_length.c
@@ -34,9 +34,8 @@
 }
 
 /*
- * libmicrohttpd itself refuses a Content-Length that is not a number, and then
- * sends two responses. The request must be refused once and its connection
- * closed, and the request after it must not be executed.
+ * A request whose Content-Length is not a number must be refused once and its
+ * connection closed, and the request after it must not be executed.
  */
 START_TEST(test_refused)
 {
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -25,6 +25,12 @@
     {"{" REQUIRED_KEYS ",\"speed\":1}", {"/speed: unknown key"}},
     {"{" REQUIRED_KEYS ",\"trace_percent\":101}",
      {"/trace_percent: 101 is outside 0 to 100"}},
+    {"{" REQUIRED_KEYS ",\"read_ahead_requests\":0,"
+     "\"read_ahead_bytes\":0}",
+     {"/read_ahead_requests: 0 is outside 1 to 64",
+      "/read_ahead_bytes: 0 is outside 1024 to 8388608"}},
+    {"{" REQUIRED_KEYS ",\"read_ahead_requests\":65}",
+     {"/read_ahead_requests: 65 is outside 1 to 64"}},
     {"{" REQUIRED_KEYS ",\"trace_percent\":\"all\"}",
      {"/trace_percent: expected an integer"}},
     {"{" REQUIRED_KEYS ",\"log_level\":\"loud\"}",
