Let the platform's grace time and retry slack reach a node

What callers saw: in a planned stop, in calm, a node that still had a call when its grace time ended was killed with it; the caller got no answer, also where the request may not be repeated.

Cause: the template filled in the bounds as a list of values without names, so that none took effect. A node drained for up to 120 s (the default), knew nothing of GraceS, and had a reserve of two retries of its own where the slack of 124 is shared by 98 nodes.

Change: the template names GraceS, BudgetSlack and BudgetWindowS, and an empty value counts as not stated. RetryBudgetRatio is left to the policy (14%, below the bound of 20%).

Tests: deploy_template fills the template in as the platform does and reads the node's settings from it; 3 of its 4 rows failed before (drain limit 120000 ms in place of 5150 and 2150, reserve 0 in place of 122). A row in platform (bounds) for values that are not stated.

--- /dev/null
+++ b/tests/test_deploy_template.c
@@ -0,0 +1,109 @@
+#include "berylvane/node/settings.h"
+#include "berylvane/platform/dialect.h"
+#include "support.h"
+#include "template.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+/*
+ * Guards against a bound of the users' platform that does not reach a node:
+ * the template of the settings is filled in as the platform does it, and the
+ * node's settings are read from the result.
+ */
+
+#define FIELDS(bounds)                                                        \
+    "{\"NodeName\": \"side-a-1\", \"Service\": \"s1\", "                      \
+    "\"Ip\": \"10.1.0.8\", \"Region\": \"r\", \"Zone\": \"z\", "              \
+    "\"Listen\": {\"Outbound\": \"10.1.0.8:8304\", "                          \
+    "\"Control\": \"10.1.0.8:8306\", \"Ready\": \"10.1.0.8:8302\"}, "         \
+    "\"InternalPorts\": [7620, 7635], "                                       \
+    "\"Platform\": {\"Address\": \"10.200.1.7:8309\"}, "                      \
+    "\"Seeds\": [\"10.1.0.9:8306\"], \"Bounds\": {" bounds "}}"
+
+typedef struct {
+    const char *fields;
+    int64_t drain_limit_ms;
+    int64_t drain_notice_ms;
+    int64_t config_apply_ms;
+    json_int_t shared_reserve;
+} template_case_t;
+
+#define DEFAULT_DRAIN_LIMIT_MS 120000
+#define DRAIN_NOTICE_MS 2800
+
+static const template_case_t cases[] = {
+    {FIELDS("\"GraceS\": 6, \"ConfigApplyMs\": 2500, \"BudgetSlack\": 50, "
+            "\"BudgetWindowS\": 10, \"RetryBudgetRatio\": 0.2, "
+            "\"Unknown\": true"),
+     5150, DRAIN_NOTICE_MS, 2500, 48},
+    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0},
+    {FIELDS("\"BudgetSlack\": 124"), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS,
+     0, 122},
+    {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0},
+};
+
+static bv_settings_t *
+load_settings(const char *fields)
+{
+    char *template = NULL;
+    char *path = NULL;
+    ck_assert(g_file_get_contents(TEMPLATE_PATH, &template, NULL, NULL));
+    json_t *values = json_loads(fields, 0, NULL);
+    ck_assert_ptr_nonnull(values);
+    char *text = template_render(template, values);
+    close(g_file_open_tmp("settings-XXXXXX.json", &path, NULL));
+    ck_assert(g_file_set_contents(path, text, -1, NULL));
+    bv_findings_t *findings = bv_findings_create();
+    bv_settings_t *settings = bv_settings_load(path, findings);
+    char *problems = bv_findings_to_string(findings);
+    ck_assert_msg(settings != NULL, "%s in\n%s", problems, text);
+    remove(path);
+    bv_findings_destroy(findings);
+    json_decref(values);
+    g_free(problems);
+    g_free(path);
+    g_free(text);
+    g_free(template);
+    return settings;
+}
+
+static json_int_t
+shared_reserve(const bv_dialect_t *dialect)
+{
+    bv_findings_t *findings = bv_findings_create();
+    json_t *row =
+        json_loads("{\"Version\": \"r1\", \"VirtualHosts\": []}", 0, NULL);
+    json_t *bundle =
+        dialect->config_source->translate(dialect->context, row, findings);
+    ck_assert_ptr_nonnull(bundle);
+    json_t *retry = json_object_get(json_object_get(bundle, "base"), "retry");
+    json_int_t reserve =
+        json_integer_value(json_object_get(retry, "shared_reserve"));
+    json_decref(bundle);
+    json_decref(row);
+    bv_findings_destroy(findings);
+    return reserve;
+}
+
+START_TEST(test_bounds_reach_node)
+{
+    const template_case_t *row = &cases[_i];
+    bv_settings_t *settings = load_settings(row->fields);
+    const bv_dialect_t *dialect = bv_platform_dialect(settings);
+    ck_assert_int_eq(settings->drain_limit_ms, row->drain_limit_ms);
+    ck_assert_int_eq(settings->drain_notice_ms, row->drain_notice_ms);
+    ck_assert_int_eq(settings->config_apply_ms, row->config_apply_ms);
+    ck_assert_int_eq(shared_reserve(dialect), row->shared_reserve);
+    bv_settings_destroy(settings);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"bounds_reach_node", test_bounds_reach_node, G_N_ELEMENTS(cases)},
+        {NULL}};
+    return support_run("deploy_template", tests);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -334,6 +334,8 @@
     {"[]", 14, 0, 9000, 2800, 0},
     {"[\"ConfigApplyMs=2500\"]", 14, 0, 9000, 2800, 2500},
     {"[\"ConfigApplyMs=soon\"]", 14, 0, 9000, 2800, 0},
+    {"[\"GraceS=\", \"BudgetSlack=\", \"BudgetWindowS=\"]", 14, 0, 9000, 2800,
+     0},
     {"[\"RetryBudgetRatio=0.2\", \"BudgetSlack=50\", \"GraceS=6\"]", 18, 48,
      5150, 2800, 0},
     {"[\"GraceS=3\"]", 14, 0, 2150, 1182, 0},
