Count an answer whose head is cut off as broken

What callers saw (a report of operators of a similar system; it can happen here): an endpoint stopped in the middle of its answer's head and closed, and the caller got a 200 with an empty body, framed as whole.

Cause: libcurl reports success for a transfer that ends before the empty line of its head. The client took that as an answer.

Evidence: cut_answers sends each proper part of three answers (with a length, chunked, a refusal) and closes; all three rows failed, first with "HTTP/1.1 200 OK\r\n" alone, reported as answered.

Change: an answer counts only if its head was complete. It holds for answers of targets, of the store and of members.

Tests: http_client (cut_answers) passes; store, store_answers, target_answers, store_silent, http_silent, endless_answers, platform, e2e_platform and e2e_bad_input pass under the address sanitizer.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -192,7 +192,9 @@
     curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &request_size);
     switch (code) {
     case CURLE_OK:
-        return BV_HTTP_ANSWERED;
+        /* libcurl also takes a head that its connection cut off as whole. */
+        return transfer->reception.is_head_complete ? BV_HTTP_ANSWERED
+                                                    : BV_HTTP_BROKEN;
     case CURLE_URL_MALFORMAT:
         return BV_HTTP_NOT_SENT;
     case CURLE_COULDNT_CONNECT:
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -111,9 +111,10 @@
     bv_latch_open(pending->latch);
 }
 
-START_TEST(test_results_of_answers)
+static void
+check_result(const answer_case_t *answer_case)
 {
-    server_t server = {.answer_case = &answer_cases[_i]};
+    server_t server = {.answer_case = answer_case};
     uint16_t port = listen_on_free_port(&server.listener);
     GThread *thread = g_thread_new("server", run_server, &server);
     apr_pool_t *pool = bv_program_start();
@@ -140,14 +141,54 @@
     g_free(url);
     bv_program_stop(pool);
 }
+
+START_TEST(test_results_of_answers)
+{
+    check_result(&answer_cases[_i]);
+}
+END_TEST
+
+typedef struct {
+    const char *bytes;
+    /*
+     * Bytes at the end without which the answer is taken as whole: the body
+     * is complete with its last chunk (RFC 9112, section 8).
+     */
+    size_t optional_bytes;
+} whole_answer_t;
+
+static const whole_answer_t whole_answers[] = {
+    {OK "X-Id: 7\r\nX-Signature: a\r\nContent-Length: 2\r\n\r\nok", 0},
+    {OK "X-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+     1},
+    {"HTTP/1.1 503 Busy\r\nX-Id: 7\r\nNot-Executed: 1\r\n"
+     "Content-Length: 0\r\n\r\n",
+     0},
+};
+
+/* An answer whose connection ends at any byte before its end is broken. */
+START_TEST(test_cut_answers)
+{
+    const whole_answer_t *whole = &whole_answers[_i];
+    size_t size = strlen(whole->bytes);
+    for (size_t cut = 0; cut <= size; cut++) {
+        char *part = g_strndup(whole->bytes, cut);
+        bool is_whole = cut + whole->optional_bytes >= size;
+        answer_case_t answer_case = {
+            part, false, is_whole ? BV_HTTP_ANSWERED : BV_HTTP_BROKEN};
+        check_result(&answer_case);
+        g_free(part);
+    }
+}
 END_TEST
 
 int
 main(void)
 {
-    const support_test_t tests[] = {{"results_of_answers",
-                                     test_results_of_answers,
-                                     G_N_ELEMENTS(answer_cases)},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"results_of_answers", test_results_of_answers,
+         G_N_ELEMENTS(answer_cases)},
+        {"cut_answers", test_cut_answers, G_N_ELEMENTS(whole_answers)},
+        {NULL}};
     return support_run("http_client", tests);
 }
