Let a draining node wait until callers have taken their answers

What callers saw: a large answer, begun when its node was stopped on purpose, ended early if the caller read slowly: 3,919,872 bytes of 8,389,104.

Cause: a node left 200 ms after its last call was answered, whether the answer had been written to the caller's connection or waited in the node.

Change: the last phase of the drain ends when all answers are written, or at the drain limit.

Test: e2e_drain (slow_reader) fails without the change, with the count above, and passes with it in 4 s.

--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -403,6 +403,9 @@
  */
 void bv_node_apply_caller_limits(bv_node_t *node);
 
+/* Whether all answers were written to the callers' connections. */
+bool bv_node_answers_are_written(const bv_node_t *node);
+
 /* Applies the limits of the settings to all listeners, then the configured. */
 void bv_node_apply_listener_settings(bv_node_t *node);
 
--- a/node/drain.c
+++ b/node/drain.c
@@ -67,6 +67,13 @@
     return bv_calls_count(node) == 0 && bv_serve_count(node) == 0;
 }
 
+/* Callers may take the last answers slowly. */
+static bool
+is_done(const bv_node_t *node)
+{
+    return is_idle(node) && bv_node_answers_are_written(node);
+}
+
 static bool
 is_over_limit(const bv_node_t *node)
 {
@@ -106,7 +113,7 @@
         return;
     case BV_DRAIN_LINGER:
         if (in_phase_us >= LINGER_US &&
-            (is_idle(node) || is_over_limit(node))) {
+            (is_done(node) || is_over_limit(node))) {
             enter_phase(node, BV_DRAIN_DONE);
             bv_log(BV_LOG_INFO, "drain_ended", NULL);
         }
--- a/node/node.c
+++ b/node/node.c
@@ -338,6 +338,18 @@
     g_clear_pointer(&node->bundle, g_bytes_unref);
 }
 
+bool
+bv_node_answers_are_written(const bv_node_t *node)
+{
+    for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
+        if (node->listeners[role] != NULL &&
+            !bv_listener_is_written(node->listeners[role])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 listeners_are_idle(const bv_node_t *node)
 {
--- a/tests/e2e/test_drain.c
+++ b/tests/e2e/test_drain.c
@@ -1,8 +1,11 @@
 #include "fixture.h"
+#include "raw.h"
 
 #include "berylvane/common/clock.h"
 
 #include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /*
@@ -163,12 +166,63 @@
 }
 END_TEST
 
+#define LARGE_ANSWER_BYTES 4194304
+#define LARGE_REQUEST                                                         \
+    "GET /catalogue/drawing?bytes=4194304 HTTP/1.1\r\nHost: x\r\n\r\n"
+#define SMALL_BUFFER_BYTES 65536
+/* Together more than the system holds for a connection. */
+#define LARGE_REQUESTS 2
+#define POLL_US 10000
+/* Longer than a node lingers after its last answer. */
+#define READ_PAUSE_US BV_US_PER_S
+
+/*
+ * Guards against a large answer that is cut off, since its caller reads slowly
+ * and the node has no other work left when it drains.
+ */
+START_TEST(test_slow_reader)
+{
+    size_t instance = cluster_find_instance(fixture->cluster, "catalogue-1");
+    int buffer_bytes = SMALL_BUFFER_BYTES;
+    int fd = raw_connect(cluster_ports(fixture->cluster, instance)->outside);
+    ck_assert_int_ge(fd, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    for (int i = 0; i < LARGE_REQUESTS; i++) {
+        raw_send(fd, LARGE_REQUEST, strlen(LARGE_REQUEST), FALSE);
+    }
+    while (fixture_executions(fixture, "/catalogue/drawing") <
+           LARGE_REQUESTS) {
+        usleep(POLL_US);
+    }
+    cluster_signal(fixture->cluster, CLUSTER_NODE, instance, SIGTERM);
+    usleep(READ_PAUSE_US);
+    char *rest = raw_read(fd);
+    const char *next = rest;
+    for (int i = 0; i < LARGE_REQUESTS; i++) {
+        const char *body = strstr(next, "\r\n\r\n");
+        ck_assert_ptr_nonnull(body);
+        next = body + strlen("\r\n\r\n") + LARGE_ANSWER_BYTES;
+        ck_assert_uint_ge(strlen(rest), (size_t)(next - rest));
+    }
+    ck_assert_str_eq(next, "");
+    close(fd);
+    g_free(rest);
+    ck_assert_int_eq(cluster_wait_exit(fixture->cluster, CLUSTER_NODE,
+                                       instance, STATE_TIMEOUT_US),
+                     0);
+    ck_assert(cluster_restart(fixture->cluster, CLUSTER_NODE, instance, NULL));
+    ck_assert(cluster_wait_health(fixture->cluster, instance, 200,
+                                  STATE_TIMEOUT_US));
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"drain", test_drain, G_N_ELEMENTS(drain_cases)},
         {"rolling_restart", test_rolling_restart, 1},
+        {"slow_reader", test_slow_reader, 1},
         {NULL}};
     return fixture_run(&fixture, "drain.json", "drain", tests);
 }
