Read requests strictly, however they are cut into pieces

What callers could do: http_parser as Debian builds it (without its strict checks) reads "HTTPy1.1" as a version, lines that end with LF alone, folded lines, and takes any byte for the LF that ends a head or a chunk. Another server before the node may read such bytes in another way (request smuggling).

--- a/caller/request_parser.h
+++ b/caller/request_parser.h
@@ -8,8 +8,9 @@
 /*
  * request_parser - reads the HTTP requests of one connection
  *
- * Built on http_parser. The parser stops behind each request, so that the
- * owner decides when the next one is read.
+ * Lines must end with CR LF. A complete head is read with http_parser; how it
+ * is cut into pieces before does not matter. The parser stops behind each
+ * request, so that the owner decides when the next one is read.
  */
 typedef struct bv_request_parser bv_request_parser_t;
 
@@ -60,7 +61,10 @@
 bv_request_parser_create(const bv_request_parser_options_t *options);
 void bv_request_parser_destroy(bv_request_parser_t *parser);
 
-/* Reads up to the end of a request. Heads are limited to `head_bytes`. */
+/*
+ * Reads up to the end of a request. The request line and the header lines are
+ * each limited to `head_bytes`.
+ */
 bv_parse_result_t bv_request_parser_feed(bv_request_parser_t *parser,
                                          const char *data, size_t size,
                                          size_t head_bytes);
