--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -485,9 +485,11 @@
         for _ in range(50):
             port = self.random.randrange(12000, 30000, 40)
             try:
-                for offset in (0, 1, 2, 4, 6, 9, 10, 25):
-                    with socket.socket() as probe:
-                        probe.bind(("0.0.0.0", port + offset))
+                for host in (1, 2, 3, 4, 5, 250):
+                    for offset in (0, 1, 2, 4, 6, 9, 10, 25):
+                        with socket.socket() as probe:
+                            probe.bind(("127.%d.%d.%d" % (self.network + (host,)),
+                                        port + offset))
                 return port
             except OSError:
                 continue
