Client accounts: section "accounts" and public routes in the configuration

A configuration had no notion of a client account: any outside caller could send requests to any route, and the only name from which a priority level was derived was the one that the caller itself stated.

Routes get the field "public", and the state of a call the member `account`. Nothing reads them yet, so that callers see no change.

--- a/core/config.c
+++ b/core/config.c
@@ -14,6 +14,7 @@
     json_t *fencing;
     json_t *callers;
     json_t *departments;
+    json_t *accounts;
     json_t *services;
 } sections_t;
 
@@ -66,6 +67,9 @@
     {.name = "departments",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(sections_t, departments)},
+    {.name = "accounts",
+     .kind = BV_FIELD_JSON,
+     .offset = offsetof(sections_t, accounts)},
     {.name = "services",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(sections_t, services),
@@ -292,6 +296,10 @@
                                 config};
     build_numbers(&builder, &sections);
     build_callers(&builder, sections.callers);
+    if (sections.accounts != NULL) {
+        config->accounts = bv_accounts_build(sections.accounts, source,
+                                             "/accounts", findings);
+    }
     const char *name;
     json_t *entry;
     json_object_foreach(sections.services, name, entry) {
@@ -332,5 +340,6 @@
         return;
     }
     g_ptr_array_unref(config->routes);
+    bv_accounts_destroy(config->accounts);
     g_free(config);
 }
--- a/core/config_route.c
+++ b/core/config_route.c
@@ -20,6 +20,7 @@
     bool long_work;
     bool hedge;
     bool keyed;
+    bool is_public;
     int64_t attempts;
     int64_t timeout_ms;
     int64_t aim_ms;
@@ -64,6 +65,9 @@
     {.name = "keyed",
      .kind = BV_FIELD_BOOLEAN,
      .offset = offsetof(route_fields_t, keyed)},
+    {.name = "public",
+     .kind = BV_FIELD_BOOLEAN,
+     .offset = offsetof(route_fields_t, is_public)},
     {.name = "attempts",
      .kind = BV_FIELD_INTEGER,
      .offset = offsetof(route_fields_t, attempts),
@@ -152,6 +156,7 @@
     route->method = fields.method;
     route->host = fields.host;
     route->is_keyed = fields.keyed;
+    route->is_public = fields.is_public;
     route->attempts_limit = (uint32_t)fields.attempts;
     route->latency_objective_us = fields.aim_ms * BV_US_PER_MS;
     route->prefix = fields.prefix;
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -2,6 +2,7 @@
 #define BERYLVANE_CORE_CONFIG_H
 
 #include "berylvane/common/findings.h"
+#include "berylvane/core/accounts.h"
 #include "berylvane/core/types.h"
 
 /*
@@ -45,6 +46,8 @@
      * key, not only at most once for each call that a client sends.
      */
     bool is_keyed;
+    /* Outside callers need no API key. */
+    bool is_public;
     /* Maximum number of targets that one call is sent to. */
     uint32_t attempts_limit;
     int64_t timeout_us;
@@ -86,6 +89,8 @@
     /* How long before the deadline unfinished attempts are fenced. */
     int64_t fence_before_deadline_us;
     bv_caller_limits_t caller_limits;
+    /* NULL if outside callers need no API keys. */
+    bv_accounts_t *accounts;
     /* Of bv_route_t; owned by the configuration. */
     GPtrArray *routes;
 } bv_config_t;
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -20,6 +20,8 @@
     /* Hash of the route's name. */
     uint32_t route_hash;
     char *customer;
+    /* Account of the outside caller, owned by `config`; NULL for none. */
+    const bv_account_t *account;
     /* Span of this call, and the caller's span. */
     bv_trace_t trace;
     bv_trace_t parent;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -65,6 +65,18 @@
     {"{\"services\":{\"a\":{\"routes\":{\"r\":{\"method\":\"GET\","
      "\"prefix\":\"/x\",\"class\":\"top\"}}}}}",
      "t: /services/a/routes/r/class: expected batch | normal | critical"},
+    {"{\"services\":{},\"accounts\":[]}", "t: /accounts: expected an object"},
+    {"{\"services\":{},\"accounts\":{\"\":{}}}",
+     "t: /accounts/: name is empty"},
+    {"{\"services\":{},\"accounts\":{\"a\":{\"rate_per_s\":-1}}}",
+     "t: /accounts/a/rate_per_s: -1 is outside 0 to 4294967295"},
+    {"{\"services\":{},\"accounts\":{\"a\":{\"key_digests\":[\"12\"]}}}",
+     "t: /accounts/a/key_digests/0: expected 64 hexadecimal digits"},
+    {"{\"services\":{},\"accounts\":{\"a\":{\"class\":\"top\"}}}",
+     "t: /accounts/a/class: expected batch | normal | critical"},
+    {"{\"services\":{\"a\":{\"routes\":{\"r\":{\"method\":\"GET\","
+     "\"prefix\":\"/x\",\"public\":1}}}}}",
+     "t: /services/a/routes/r/public: expected"},
 };
 
 START_TEST(test_findings)
