Callers: a call can be refused before its body is read

A listener refused a call before its body only for reasons that the head alone shows, such as a length over the limit. Who needs to look at more than the head, as for a missing API key, saw the call only after the whole body had been read.

Listeners get the callback check_head. It is asked when a head was read, a body is to come and no other call of the connection is open; a status other than 0 refuses the call and closes the connection, since the end of the body is not known. A call that waits behind others is not asked about: it is read and judged when it starts, and answers keep the order of the requests. A refusal with 401 names the scheme (RFC 9110, section 11.6.1) and is not logged here, where no log budget applies.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -47,6 +47,20 @@
               &event);
 }
 
+/*
+ * A call that has to wait for others is judged when it starts, since what
+ * decides about it may change until then.
+ */
+static uint16_t
+check_call_head(void *context, const bv_call_t *call)
+{
+    const bv_connection_t *connection = context;
+    const bv_connection_options_t *options = connection->options;
+    return bv_pipeline_is_empty(connection->pipeline)
+               ? options->check_head(options->context, call)
+               : 0;
+}
+
 bv_connection_t *
 bv_connection_create(const bv_connection_options_t *options, int fd,
                      int64_t now_us)
@@ -58,6 +72,8 @@
         .dialect = options->dialect,
         .role = options->role,
         .limits = options->limits,
+        .check_head = check_call_head,
+        .context = connection,
     };
     connection->options = options;
     connection->fd = fd;
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -23,6 +23,8 @@
     bool reports_disconnects;
     /* A complete call, to be replied to with bv_connection_reply(). */
     void (*pass_on)(void *context, bv_exchange_t *exchange);
+    /* Returns the status that refuses a call before its body is read, or 0. */
+    uint16_t (*check_head)(void *context, const bv_call_t *call);
     /* Whether a call may start before the calls before it are answered. */
     bool (*may_run_ahead)(void *context, const bv_call_t *call);
     /* The caller of a call that was passed on has disconnected. */
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -124,6 +124,16 @@
     }
 }
 
+static uint16_t
+check_call_head(void *context, const bv_call_t *call)
+{
+    const bv_listener_t *listener = context;
+    const bv_listener_options_t *options = &listener->options;
+    return options->check_head != NULL
+               ? options->check_head(options->context, call)
+               : 0;
+}
+
 static bool
 may_run_ahead(void *context, const bv_call_t *call)
 {
@@ -398,6 +408,7 @@
         .epoll_fd = listener->epoll_fd,
         .reports_disconnects = options->on_disconnect != NULL,
         .pass_on = pass_on,
+        .check_head = check_call_head,
         .may_run_ahead = may_run_ahead,
         .on_disconnect = on_disconnect,
         .context = listener,
--- a/caller/request_parser.c
+++ b/caller/request_parser.c
@@ -161,6 +161,7 @@
         .target = fields->target->str,
         .lines = fields->lines->str,
         .content_length = fields->content_length,
+        .has_body = fields->is_chunked || fields->content_length > 0,
         .expects_continue = fields->expects_continue && !is_http_1_0,
         .keeps_alive = fields->keeps_alive,
         .is_http_1_0 = is_http_1_0,
@@ -199,7 +200,10 @@
 static bool
 may_follow(const GString *head, char c)
 {
-    char last = head->len > 0 ? head->str[head->len - 1] : '\n';
+    char last = '\n';
+    if (head->len > 0) {
+        last = head->str[head->len - 1];
+    }
     if ((c == '\n') != (last == '\r') || c == '\0') {
         return false;
     }
--- a/caller/request_parser.h
+++ b/caller/request_parser.h
@@ -23,6 +23,8 @@
     const char *lines;
     /* Declared length of the body; 0 for a chunked body. */
     uint64_t content_length;
+    /* A body follows, with a length above 0 or in chunks. */
+    bool has_body;
     /* The sender waits for "100 Continue" before it sends the body. */
     bool expects_continue;
     /* The connection may stay open after the answer. */
--- a/caller/request_reader.c
+++ b/caller/request_reader.c
@@ -4,7 +4,11 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 
+/* Logged by what refuses the call, within the log budget. */
+#define STATUS_UNAUTHORIZED 401
 #define STATUS_CONTENT_TOO_LARGE 413
+/* RFC 9110, section 11.6.1: a response 401 names the scheme. */
+#define CHALLENGE "WWW-Authenticate: Bearer\r\n"
 
 struct bv_request_reader {
     bv_request_reader_options_t options;
@@ -31,6 +35,10 @@
         head->content_length > bv_limit(&options->limits->body_bytes)) {
         status = STATUS_CONTENT_TOO_LARGE;
     }
+    if (status == 0 && head->has_body) {
+        status =
+            options->check_head(options->context, &reader->receiving->call);
+    }
     return status;
 }
 
@@ -101,6 +109,7 @@
     bv_reply_t reply = {
         .status = status,
         .outcome = BV_OUTCOME_NOT_RUN,
+        .headers = status == STATUS_UNAUTHORIZED ? CHALLENGE : NULL,
         .closes_connection = true,
     };
     if (exchange == NULL) {
@@ -110,7 +119,9 @@
     exchange->response =
         bv_response_build(options->dialect, &reply, exchange->call.method);
     bv_counter_add(BV_COUNT_ANSWERS_NOT_RUN, 1);
-    bv_log(BV_LOG_INFO, "head_refused", "status", BV_NUM(status), NULL);
+    if (status != STATUS_UNAUTHORIZED) {
+        bv_log(BV_LOG_INFO, "head_refused", "status", BV_NUM(status), NULL);
+    }
     return exchange;
 }
 
--- a/caller/request_reader.h
+++ b/caller/request_reader.h
@@ -15,6 +15,12 @@
     const bv_caller_dialect_t *dialect;
     bv_listener_role_t role;
     const bv_connection_limits_t *limits;
+    /*
+     * Called when a head was read and a body is to come: returns the status
+     * that the call is refused with, or 0.
+     */
+    uint16_t (*check_head)(void *context, const bv_call_t *call);
+    void *context;
 } bv_request_reader_options_t;
 
 typedef struct {
--- a/include/berylvane/caller/call.h
+++ b/include/berylvane/caller/call.h
@@ -27,8 +27,8 @@
 } bv_call_kind_t;
 
 /*
- * A call. The members are read-only from on_call until the call is answered,
- * which frees them. Strings may be NULL unless noted.
+ * A call. From on_call until the call is answered, which frees the members,
+ * they are read-only but for `headers`. Strings may be NULL unless noted.
  */
 typedef struct {
     bv_call_kind_t kind;
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -62,6 +62,13 @@
      * call has an idempotency key, otherwise as not run.
      */
     bool (*on_call)(void *context, bv_call_t *call);
+    /*
+     * Called when the head of a call was read and its body is still to come,
+     * and no other call of the connection is open. Returns 0, or the HTTP
+     * status that the call is refused with, which closes the connection.
+     * Called on the listener's thread. NULL if no call is refused so.
+     */
+    uint16_t (*check_head)(void *context, const bv_call_t *call);
     /*
      * Whether a call may be passed on before the calls that its connection
      * sent earlier are answered, which only an idempotent call may. Called on
--- a/tests/test_read_ahead.c
+++ b/tests/test_read_ahead.c
@@ -56,6 +56,15 @@
     return true;
 }
 
+/* Refuses the calls "%" and "@", if it is asked before their body is read. */
+static uint16_t
+check_head(void *context, const bv_call_t *call)
+{
+    (void)context;
+    return strcmp(call->path, "/%") == 0 || strcmp(call->path, "/@") == 0 ? 401
+                                                                          : 0;
+}
+
 static bool
 may_run_ahead(void *context, const bv_call_t *call)
 {
@@ -80,6 +89,7 @@
         .limits = {.read_ahead_requests = READ_AHEAD_REQUESTS,
                    .read_ahead_bytes = READ_AHEAD_BYTES},
         .on_call = on_call,
+        .check_head = check_head,
         .may_run_ahead = may_run_ahead,
         .on_disconnect = on_disconnect,
         .context = fixture,
@@ -155,7 +165,10 @@
     bv_listener_stop(fixture->listener);
 }
 
-/* "?" is no request; "#" announces a body that never comes. */
+/*
+ * "?" is no request; "#" and "@" announce a body that never comes; "%" has a
+ * whole body.
+ */
 static char *
 write_requests(const char *letters)
 {
@@ -164,9 +177,15 @@
         if (*c == '?') {
             g_string_append(text, "no request\r\n\r\n");
         }
-        else if (*c == '#') {
-            g_string_append(text, "POST /# HTTP/1.1\r\nHost: x\r\n"
-                                  "Content-Length: 10\r\n\r\n");
+        else if (*c == '#' || *c == '@') {
+            g_string_append_printf(text,
+                                   "POST /%c HTTP/1.1\r\nHost: x\r\n"
+                                   "Content-Length: 10\r\n\r\n",
+                                   *c);
+        }
+        else if (*c == '%') {
+            g_string_append(text, "POST /% HTTP/1.1\r\nHost: x\r\n"
+                                  "Content-Length: 3\r\n\r\none");
         }
         else if (g_ascii_isupper(*c)) {
             g_string_append_printf(text,
@@ -248,6 +267,13 @@
     {"ab?", ">a >b =b200 =a200", "200a 200b 400!"},
     {"aB?c", ">a =a200 >B =B200", "200a 200B 400!"},
     {"?a", "", "400!"},
+    /* A call that nothing goes before is refused before its body is read. */
+    {"@", "", "401!"},
+    {"%a", "", "401!"},
+    /* One that waits is passed on, and refused in its turn. */
+    {"a%b", ">a =a200 >% >b =b200 =%401", "200a 401% 200b"},
+    {"A%B", ">A =A200 >% =%401 >B =B200", "200A 401% 200B"},
+    {"ab%", ">a >b =b200 =a200 >% =%401", "200a 200b 401%"},
 };
 
 static void
