API keys of outside callers are checked, and targets are told the account

With "Tenants" in the platform's configuration, callers could do what they could without: keys were neither asked for nor checked, and an Authorization header reached the target.

The list is translated into the section "accounts", with keyed digests in place of the keys, so that the bundles that nodes pass on hold no key. Findings give the place of an empty or repeated name, a negative rate, an invalid key and a repeated key, and never quote a key.

core/access decides about a call by its route, its key and what the node knows of its own configuration. A call without a valid key gets 401, before its body is read where nothing goes before it on its connection. While a node knows of a newer configuration and does not have it, such a call is held for up to 1 s, and then gets 503 with Retry-After: a new key may be in that version. With RevokeFailClosed=true a node that the store did not answer for RevokeMs gives 503. A configuration that was rejected does not count as newer.

The header Tenant-Id is written into the headers of the call where it enters, and the caller's own is dropped with the key, so that all hops and retries carry it unchanged, messages have no new field, and calls that a target makes get none. The account's class goes before the route's, and its name gives the level within the class; both travel in the priority as before.

Counters: access_denied, access_held, access_undecided, and answers by account, status and whether node or target gave them, for the first 100 accounts; /status and berylvanectl status show the same. Without the section nothing of this is run: an Authorization header is forwarded as before.

--- a/ctl/status.c
+++ b/ctl/status.c
@@ -178,6 +178,33 @@
     }
 }
 
+/* Prints the statuses that accounts were answered with, as "503=4". */
+static void
+print_answers(const char *by, const json_t *answers)
+{
+    const char *status;
+    json_t *count;
+    if (json_object_size(answers) > 0) {
+        printf(" %s", by);
+    }
+    json_object_foreach((json_t *)answers, status, count) {
+        printf(" %s=%" JSON_INTEGER_FORMAT, status, json_integer_value(count));
+    }
+}
+
+static void
+print_accounts(const json_t *accounts)
+{
+    const char *name;
+    json_t *usage;
+    json_object_foreach((json_t *)accounts, name, usage) {
+        printf("account %-16s", *name != '\0' ? name : "(none)");
+        print_answers("target:", json_object_get(usage, "target"));
+        print_answers("node:", json_object_get(usage, "node"));
+        printf("\n");
+    }
+}
+
 int
 ctl_status(const ctl_options_t *options)
 {
@@ -195,6 +222,7 @@
     }
     print_sites(members);
     print_config(status);
+    print_accounts(json_object_get(status, "accounts"));
     json_decref(status);
     return 0;
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -71,6 +71,10 @@
     X(CONFIG_ADOPTED, "config_adopted", "configurations put in force")        \
     X(CONFIG_REJECTED, "config_rejected", "configurations not adopted")       \
     X(CONFIG_CONFLICTS, "config_conflicts", "two digests of one generation")  \
+    X(ACCESS_DENIED, "access_denied", "calls refused with 401")               \
+    X(ACCESS_HELD, "access_held", "calls held for a newer configuration")     \
+    X(ACCESS_UNDECIDED, "access_undecided",                                   \
+      "calls refused with 503 since their key could not be judged")           \
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
--- a/include/berylvane/node/dialect.h
+++ b/include/berylvane/node/dialect.h
@@ -39,6 +39,11 @@
     bool (*read_announcement)(void *context, const bv_call_t *call,
                               bv_announcement_t *announcement,
                               bv_findings_t *findings);
+    /*
+     * Header that tells targets the account of a call. NULL if the target's
+     * dialect writes it (`customer` of bv_target_work_t).
+     */
+    const char *account_header;
     /* NULL: the configuration is named by the head row (platform/head.h). */
     const bv_config_source_t *config_source;
     /*
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -46,6 +46,9 @@
 /* Claim writes that are queued to be sent in one store transaction. */
 typedef struct bv_claim_writes bv_claim_writes_t;
 
+/* What checks the API keys of outside callers; see node/access.h. */
+typedef struct bv_access_gate bv_access_gate_t;
+
 /* An event for the decision thread, which calls `run` with `data`. */
 typedef struct {
     void (*run)(bv_node_t *node, void *data);
@@ -141,6 +144,7 @@
     uint64_t config_heard_generation;
     int64_t config_heard_us;
     bv_rendezvous_t rendezvous;
+    bv_access_gate_t *access;
 
     bv_credits_t *credits;
     bv_sessions_t *sessions;
@@ -253,6 +257,9 @@
  */
 void bv_calls_receive(bv_node_t *node, void *call);
 
+/* Starts a request that was received and is not held for its key. */
+void bv_calls_start(bv_node_t *node, bv_call_t *call);
+
 /*
  * Whether a call may start before the calls that its connection sent earlier
  * are answered: its route is idempotent and the node is not draining.
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -82,6 +82,12 @@
     int64_t config_poll_ms;
     /* Time in which a change has to be in force; 0 if not stated. */
     int64_t config_apply_ms;
+    /*
+     * Time in which the removal of an API key has to be in force, and whether
+     * calls are refused when the store was silent for that time.
+     */
+    int64_t revoke_ms;
+    bool revoke_fails_closed;
     /* Period in which this node's table row is renewed and others are read. */
     int64_t rendezvous_ms;
     int64_t store_timeout_ms;
--- a/node/calls.c
+++ b/node/calls.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/core/retry_after.h"
+#include "berylvane/node/access.h"
 #include "berylvane/node/keyed.h"
 
 #include <string.h>
@@ -105,6 +106,7 @@
     full_reply.retry_after_us = retry_after_us(node, state, reply);
     full_reply.closes_connection = node->draining && state->call->is_outside;
     count_outcome(reply->outcome);
+    bv_access_count_reply(state, reply);
     bv_decision_t decision = {
         .kind = BV_DECISION_ANSWERED,
         .request = state->id,
@@ -151,16 +153,19 @@
     return has_key ? BV_OUTCOME_UNKNOWN : BV_OUTCOME_NOT_RUN;
 }
 
+static void
+refuse_with(bv_node_t *node, bv_call_state_t *state, bv_reply_t *refusal)
+{
+    refusal->outcome = refusal_outcome(state);
+    bv_calls_finish(node, state, refusal);
+}
+
 static void
 refuse_call(bv_node_t *node, bv_call_state_t *state, uint16_t status,
             bv_reason_t reason)
 {
-    bv_reply_t reply = {
-        .status = status,
-        .outcome = refusal_outcome(state),
-        .reason = reason,
-    };
-    bv_calls_finish(node, state, &reply);
+    bv_reply_t reply = {.status = status, .reason = reason};
+    refuse_with(node, state, &reply);
 }
 
 static const bv_served_t *
@@ -193,6 +198,16 @@
     state->priority = bv_priority(state->route->importance, 0);
 }
 
+/* Returns the class of a call: that of its account goes before the route's. */
+static bv_class_t
+importance_of(const bv_call_state_t *state)
+{
+    const bv_account_t *account = state->account;
+    return account != NULL && account->has_importance
+               ? account->importance
+               : state->route->importance;
+}
+
 static void
 init_entry(bv_node_t *node, bv_call_state_t *state)
 {
@@ -207,7 +222,7 @@
     const char *account =
         state->customer != NULL ? state->customer : state->call->label;
     state->priority =
-        bv_priority(state->route->importance,
+        bv_priority(importance_of(state),
                     bv_customer_level(account != NULL ? account : ""));
 }
 
@@ -258,6 +273,15 @@
         bv_readiness_answer(node, call);
         return;
     }
+    if (!bv_access_try_hold(node, call)) {
+        bv_calls_start(node, call);
+    }
+}
+
+void
+bv_calls_start(bv_node_t *node, bv_call_t *call)
+{
+    bv_reply_t refusal = {0};
     bv_call_state_t *state = g_new0(bv_call_state_t, 1);
     state->call = call;
     state->tag = call->tag;
@@ -273,6 +297,10 @@
     state->config = bv_config_ref(node->config);
     state->route = bv_config_find_route(node->config, call->host, call->method,
                                         call->path);
+    if (!bv_access_admit(node, state, &refusal)) {
+        refuse_with(node, state, &refusal);
+        return;
+    }
     if (state->route == NULL) {
         refuse_call(node, state, 404, BV_REASON_NO_ROUTE);
         return;
@@ -334,7 +362,10 @@
 {
     const uint64_t *tag = data;
     const bv_call_state_t *state = bv_calls_find(node, *tag);
-    if (state != NULL && state->key == NULL && state->request != NULL) {
+    if (state == NULL) {
+        bv_access_handle_caller_gone(node, *tag);
+    }
+    else if (state->key == NULL && state->request != NULL) {
         bv_counter_add(BV_COUNT_CALLERS_GONE, 1);
         bv_request_caller_gone(state->request, node->now_us);
     }
@@ -450,6 +481,7 @@
         bv_calls_reschedule(node, state);
     }
     bv_calls_tick_sessions(node);
+    bv_access_tick(node);
 }
 
 int64_t
@@ -479,4 +511,5 @@
     }
     g_list_free(states);
     g_hash_table_remove_all(node->attempts);
+    bv_access_answer_held(node);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -4,7 +4,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
-#include "berylvane/node/call.h"
+#include "berylvane/node/access.h"
 
 #include <string.h>
 
@@ -87,6 +87,7 @@
     node->credits = bv_credits_create();
     node->sessions = bv_sessions_create(&sessions);
     bv_keyed_create(node);
+    bv_access_create(node);
     node->admission = bv_admission_create(&admission);
     node->router = bv_router_create(&router);
     node->traffic_split = bv_traffic_split_create(node->random);
@@ -184,6 +185,8 @@
                        ? &node->dialect->caller
                        : NULL,
         .on_call = on_call,
+        .check_head =
+            role == BV_LISTENER_OUTSIDE ? bv_access_check_head : NULL,
         .may_run_ahead = takes_calls ? bv_calls_may_run_ahead : NULL,
         .on_disconnect = takes_calls ? on_caller_gone : NULL,
         .is_threadless = true,
@@ -331,6 +334,7 @@
     bv_backpressure_table_destroy(node->downstream_backpressure);
     bv_admission_destroy(node->admission);
     bv_keyed_destroy(node);
+    bv_access_destroy(node);
     bv_sessions_destroy(node->sessions);
     bv_credits_destroy(node->credits);
     bv_config_unref(node->config);
--- a/node/settings.c
+++ b/node/settings.c
@@ -79,6 +79,10 @@
     NUMBER("suspect_timeout_ms", suspect_timeout_ms, false, 100, 600000),
     NUMBER("config_poll_ms", config_poll_ms, false, 100, 600000),
     NUMBER("config_apply_ms", config_apply_ms, false, 0, 600000),
+    NUMBER("revoke_ms", revoke_ms, false, 0, 600000),
+    {.name = "revoke_fails_closed",
+     .kind = BV_FIELD_BOOLEAN,
+     .offset = offsetof(bv_settings_t, revoke_fails_closed)},
     NUMBER("rendezvous_ms", rendezvous_ms, false, 100, 3600000),
     NUMBER("store_timeout_ms", store_timeout_ms, false, 50, 60000),
     NUMBER("claim_window_ms", claim_window_ms, false, 0, 1000),
@@ -237,6 +241,7 @@
     settings->probe_interval_ms = 1000;
     settings->suspect_timeout_ms = 5000;
     settings->config_poll_ms = 10000;
+    settings->revoke_ms = 5000;
     settings->rendezvous_ms = 120000;
     settings->store_timeout_ms = 2000;
     settings->claim_window_ms = 10;
--- a/node/status.c
+++ b/node/status.c
@@ -1,3 +1,4 @@
+#include "berylvane/common/account_counters.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/gauges.h"
 #include "berylvane/core/config_freshness.h"
@@ -56,13 +57,40 @@
         "in_force_age_ms", render_age_ms(node, BV_GAUGE_CONFIG_IN_FORCE_AGE));
 }
 
+static void
+add_usage(void *context, const char *account, bv_account_status_t status,
+          bool is_own, uint64_t count)
+{
+    json_t *usage = json_object_get(context, account);
+    if (usage == NULL) {
+        usage = json_pack("{s:{}, s:{}}", "node", "target");
+        json_object_set_new(context, account, usage);
+    }
+    json_object_set_new(json_object_get(usage, is_own ? "node" : "target"),
+                        bv_account_status_name(status),
+                        json_integer((json_int_t)count));
+}
+
+/* Answers by account, who gave them, and status; NULL without accounts. */
+static json_t *
+render_accounts(const bv_node_t *node)
+{
+    if (node->config == NULL || node->config->accounts == NULL) {
+        return NULL;
+    }
+    json_t *accounts = json_object();
+    bv_account_counters_foreach(add_usage, accounts);
+    return accounts;
+}
+
 static json_t *
 render_status(const bv_node_t *node)
 {
     json_int_t generation =
         node->config != NULL ? (json_int_t)node->config->generation : 0;
     return json_pack(
-        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o}",
+        "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, "
+        "s:o*}",
         "name", node->settings->name, "data_centre",
         node->settings->data_centre, "region", node->settings->region,
         "draining", node->draining, "generation", generation, "calls",
@@ -73,7 +101,7 @@
         (json_int_t)bv_admission_threshold(node->admission), "limit",
         (json_int_t)bv_admission_limit(node->admission), "config",
         render_config(node, (uint64_t)generation), "members",
-        render_members(node));
+        render_members(node), "accounts", render_accounts(node));
 }
 
 static void
--- a/operator/listener.c
+++ b/operator/listener.c
@@ -1,5 +1,6 @@
 #include "berylvane/operator/listener.h"
 
+#include "berylvane/common/account_counters.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/gauges.h"
@@ -62,6 +63,7 @@
     if (is_get && strcmp(call->path, "/metrics") == 0) {
         GString *text = g_string_new(NULL);
         bv_counters_render(text);
+        bv_account_counters_render(text);
         bv_gauges_render(text, bv_clock_now_us());
         reply_text(call, 200, "text/plain; version=0.0.4",
                    g_string_free(text, FALSE));
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -86,6 +86,10 @@
     char *caller = bv_headers_get(call->headers, "Caller-Service");
     g_free(node->caller);
     node->caller = caller;
+    g_free(node->account);
+    node->account = bv_headers_get(call->headers, "Tenant-Id");
+    g_free(node->authorization);
+    node->authorization = bv_headers_get(call->headers, "Authorization");
     bv_reply_t reply = {.status = 200};
     char *headers =
         g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
@@ -186,6 +190,22 @@
     return row_version;
 }
 
+int64_t
+platform_write_accounts(const platform_fixture_t *fixture, uint32_t version,
+                        const char *tenants)
+{
+    char *config = g_strdup_printf(
+        "{\"Version\":\"r%u\",\"Services\":[{\"Name\":\"front\"},{\"Name\":"
+        "\"back\"}],\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":["
+        "{\"Name\":\"one\",\"Prefix\":\"/a/\",\"Type\":\"safe\",\"Service\":"
+        "\"back\"},{\"Name\":\"two\",\"Prefix\":\"/p/\",\"Type\":\"safe\","
+        "\"Service\":\"back\",\"Public\":true}]}],\"Tenants\":%s}",
+        version, tenants);
+    int64_t row_version = write_row(fixture, "op", "config", config);
+    g_free(config);
+    return row_version;
+}
+
 void
 platform_control(const platform_fixture_t *fixture, const char *control)
 {
@@ -313,6 +333,8 @@
     bv_listener_close(node->target);
     bv_listener_stop(node->target);
     g_free(node->caller);
+    g_free(node->account);
+    g_free(node->authorization);
     char *path =
         g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
     remove(path);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -50,6 +50,9 @@
     gint served;
     /* Name of the service that made the last call. */
     char *caller;
+    /* Headers Tenant-Id and Authorization of the last call; NULL for none. */
+    char *account;
+    char *authorization;
 } platform_node_t;
 
 /* Zeroed before the first step. */
@@ -96,6 +99,13 @@
 int64_t platform_write_config(const platform_fixture_t *fixture,
                               uint32_t version, const char *prefix);
 
+/*
+ * Writes the operator's row: the prefixes "/a/", and "/p/" which is public, to
+ * the service "back", and the list "Tenants".
+ */
+int64_t platform_write_accounts(const platform_fixture_t *fixture,
+                                uint32_t version, const char *tenants);
+
 /* Writes `count` times to a row that no node reads; returns the version. */
 int64_t platform_write_other_rows(const platform_fixture_t *fixture,
                                   size_t count);
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -1,10 +1,14 @@
 #include "platform_fixture.h"
+#include "raw.h"
 
+#include "berylvane/common/headers.h"
 #include "berylvane/common/program.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /*
@@ -94,6 +98,7 @@
 static void
 start_deployment(void)
 {
+    fixture = (platform_fixture_t){0};
     platform_start_store(&fixture);
     platform_start_node(&fixture, "front");
     platform_start_node(&fixture, "back");
@@ -112,8 +117,6 @@
 START_TEST(test_platform_protocol)
 {
     platform_node_t *back = &fixture.nodes[1];
-    apr_pool_t *pool = bv_program_start();
-    atexit(kill_remaining);
     start_deployment();
     ck_assert_uint_eq(ready_status(0), 200);
     /* Reserved headers of a caller must have no effect. */
@@ -170,7 +173,216 @@
                                 "/v1/instances/i-1/deregister", NULL, ""),
         200);
     platform_stop(&fixture);
-    bv_program_stop(pool);
+}
+END_TEST
+
+#define BASE_HEADERS "Host: h.example\r\nRequest-Id: 7\r\n"
+#define WITH_KEY(key) "Authorization: Bearer " key "\r\n"
+
+/*
+ * Calls while accounts are configured: the account "gold" has the key "k1",
+ * the account "plain" the key "k2". Guards against a call that runs without a
+ * valid key, a key that reaches the target, and a target that is told another
+ * account than the caller's.
+ */
+typedef struct {
+    const char *path;
+    const char *headers;
+    uint16_t status;
+    /* What the target is told; NULL for nothing. */
+    const char *account;
+} account_call_t;
+
+static const account_call_t account_calls[] = {
+    {"/a/1", WITH_KEY("k1"), 200, "gold"},
+    {"/a/1", WITH_KEY("k2"), 200, "plain"},
+    {"/a/1", "authorization: bEARER k1\r\n", 200, "gold"},
+    {"/a/1", WITH_KEY("k1") "Tenant-Id: plain\r\ntenant-id: x\r\n", 200,
+     "gold"},
+    {"/a/1", "", 401, NULL},
+    {"/a/1", "Tenant-Id: gold\r\n", 401, NULL},
+    {"/a/1", WITH_KEY("k3"), 401, NULL},
+    {"/a/1", WITH_KEY("k1x"), 401, NULL},
+    {"/a/1", "Authorization: Bearer  k1\r\n", 401, NULL},
+    {"/a/1", "Authorization: Basic k1\r\n", 401, NULL},
+    {"/a/1", WITH_KEY("k1") WITH_KEY("k1"), 401, NULL},
+    {"/none/1", WITH_KEY("k1"), 404, NULL},
+    {"/none/1", "", 401, NULL},
+    {"/p/1", "", 200, NULL},
+    {"/p/1", WITH_KEY("k1"), 200, NULL},
+    {"/p/1", WITH_KEY("k3") "Tenant-Id: gold\r\n", 200, NULL},
+};
+
+static void
+make_account_call(const account_call_t *row)
+{
+    platform_node_t *back = &fixture.nodes[1];
+    gint before = g_atomic_int_get(&back->served);
+    ck_assert_msg(platform_call(&fixture, 0, row->path, row->headers) ==
+                      row->status,
+                  "not %u: %s with %s", row->status, row->path, row->headers);
+    gint runs = g_atomic_int_get(&back->served) - before;
+    ck_assert_int_eq(runs, row->status == 200 ? 1 : 0);
+    if (row->status == 200) {
+        ck_assert_str_eq(back->account != NULL ? back->account : "",
+                         row->account != NULL ? row->account : "");
+        ck_assert_ptr_null(back->authorization);
+    }
+}
+
+/* A call that the target of a node makes needs no key, and has no account. */
+static void
+check_call_of_target(void)
+{
+    platform_node_t *back = &fixture.nodes[1];
+    ck_assert_uint_eq(
+        platform_request_status(
+            back->ports[PLATFORM_PORT_OUTBOUND], "GET", "/a/1",
+            "Host: h.example\r\nRequest-Id: 7.1\r\nTenant-Id: gold\r\n", NULL),
+        200);
+    ck_assert_ptr_null(back->account);
+}
+
+/* Reads one whole answer; returns its status. */
+static unsigned int
+read_status(int fd)
+{
+    GString *text = g_string_new(NULL);
+    unsigned int status = 0;
+    char c;
+    while (!g_str_has_suffix(text->str, "\r\n\r\n")) {
+        ck_assert_int_eq(recv(fd, &c, 1, 0), 1);
+        g_string_append_c(text, c);
+    }
+    sscanf(text->str, "HTTP/1.1 %u", &status);
+    char *length = bv_headers_get(text->str, "Content-Length");
+    for (guint64 i = 0; i < g_ascii_strtoull(length, NULL, 10); i++) {
+        ck_assert_int_eq(recv(fd, &c, 1, 0), 1);
+    }
+    g_free(length);
+    g_string_free(text, TRUE);
+    return status;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    raw_send(fd, text, strlen(text), FALSE);
+}
+
+#define GET_WITH(key) "GET /a/1 HTTP/1.1\r\n" BASE_HEADERS WITH_KEY(key) "\r\n"
+#define POST_WITH(key, length)                                                \
+    "POST /a/1 HTTP/1.1\r\n" BASE_HEADERS WITH_KEY(                           \
+        key) "Content-Length: " length "\r\n\r\n"
+
+/* Answers on one connection keep the order of the requests. */
+static void
+check_pipelining(void)
+{
+    int fd = raw_connect(fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND]);
+    send_text(fd, GET_WITH("k1") GET_WITH("k3") GET_WITH("k2")
+                      POST_WITH("k3", "3") "one" GET_WITH("k1"));
+    static const unsigned int statuses[] = {200, 401, 200, 401, 200};
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        ck_assert_uint_eq(read_status(fd), statuses[i]);
+    }
+    close(fd);
+}
+
+/* A large body of a caller without a key is not waited for. */
+static void
+check_body_is_not_awaited(void)
+{
+    int fd = raw_connect(fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND]);
+    send_text(fd, POST_WITH("k3", "1000000"));
+    char *answer = raw_read(fd);
+    ck_assert_msg(g_str_has_prefix(answer, "HTTP/1.1 401 "), "%s", answer);
+    ck_assert_ptr_nonnull(strstr(answer, "WWW-Authenticate: Bearer\r\n"));
+    ck_assert_ptr_nonnull(strstr(answer, "Connection: close\r\n"));
+    g_free(answer);
+    close(fd);
+}
+
+/* Calls with a key until they are answered with `status`. */
+static void
+wait_for_key(int fd, const char *request, unsigned int status)
+{
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    unsigned int last_status = 0;
+    while (last_status != status) {
+        ck_assert_msg(bv_clock_now_us() < end_us, "%u, not %u", last_status,
+                      status);
+        for (size_t i = 0; i < fixture.node_count; i++) {
+            platform_heartbeat(&fixture, i, "ready");
+        }
+        send_text(fd, request);
+        last_status = read_status(fd);
+        usleep(POLL_US);
+    }
+}
+
+static void
+check_status_page(void)
+{
+    bv_http_reply_t reply =
+        platform_request(fixture.nodes[0].ports[PLATFORM_PORT_OPERATORS],
+                         "GET", "/status", NULL, NULL);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    json_t *status = json_loadb(text, size, 0, NULL);
+    const json_t *accounts = json_object_get(status, "accounts");
+    const json_t *gold =
+        json_object_get(json_object_get(accounts, "gold"), "target");
+    const json_t *none =
+        json_object_get(json_object_get(accounts, ""), "node");
+    ck_assert_int_gt(json_integer_value(json_object_get(gold, "2xx")), 0);
+    ck_assert_int_gt(json_integer_value(json_object_get(none, "401")), 0);
+    json_decref(status);
+    bv_http_reply_clear(&reply);
+}
+
+/* All steps share one deployment, and each depends on those before it. */
+START_TEST(test_accounts)
+{
+    platform_node_t *back = &fixture.nodes[1];
+    start_deployment();
+    /* Without accounts the header is forwarded as any other. */
+    ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1",
+                                    "Authorization: Any thing\r\n"
+                                    "Tenant-Id: own\r\n"),
+                      200);
+    ck_assert_str_eq(back->authorization, "Any thing");
+    ck_assert_str_eq(back->account, "own");
+    platform_write_accounts(
+        &fixture, 2,
+        "[{\"Name\":\"gold\",\"ApiKeys\":[\"k1\"],\"Priority\":0},"
+        "{\"Name\":\"plain\",\"ApiKeys\":[\"k2\"]},{\"Name\":\"shut\"}]");
+    platform_wait_for_status(&fixture, 0, "/a/1", 401);
+    for (size_t i = 0; i < G_N_ELEMENTS(account_calls); i++) {
+        make_account_call(&account_calls[i]);
+    }
+    check_pipelining();
+    check_body_is_not_awaited();
+    check_status_page();
+    int fd = raw_connect(fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND]);
+    wait_for_key(fd, GET_WITH("k1"), 200);
+    /* The next version removes a key and adds one, for open connections too.
+     */
+    platform_write_accounts(&fixture, 3,
+                            "[{\"Name\":\"gold\",\"ApiKeys\":[\"k3\"]}]");
+    wait_for_key(fd, GET_WITH("k3"), 200);
+    ck_assert_str_eq(back->account, "gold");
+    wait_for_key(fd, GET_WITH("k1"), 401);
+    wait_for_key(fd, GET_WITH("k2"), 401);
+    close(fd);
+    check_call_of_target();
+    /* An invalid version leaves the one in force. */
+    platform_write_accounts(&fixture, 4,
+                            "[{\"Name\":\"\",\"ApiKeys\":[\"k1\"]}]");
+    platform_wait_for_status(&fixture, 0, "/p/1", 200);
+    ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", WITH_KEY("k1")), 401);
+    ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", WITH_KEY("k3")), 200);
+    platform_stop(&fixture);
 }
 END_TEST
 
@@ -178,6 +390,12 @@
 main(void)
 {
     const support_test_t tests[] = {
-        {"platform_protocol", test_platform_protocol, 1}, {NULL}};
-    return support_run("platform_path", tests);
+        {"platform_protocol", test_platform_protocol, 1},
+        {"accounts", test_accounts, 1},
+        {NULL}};
+    apr_pool_t *pool = bv_program_start();
+    atexit(kill_remaining);
+    int status = support_run("platform_path", tests);
+    bv_program_stop(pool);
+    return status;
 }
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -1,4 +1,6 @@
+#include "berylvane/common/account_counters.h"
 #include "berylvane/common/clock.h"
+#include "berylvane/core/access.h"
 #include "berylvane/core/config.h"
 #include "support.h"
 
@@ -229,6 +231,241 @@
 }
 END_TEST
 
+/*
+ * Header lines of a caller. Guards against a key that is read from a malformed
+ * header, which two parsers may understand differently.
+ */
+typedef struct {
+    const char *headers;
+    bv_api_key_state_t state;
+    const char *key;
+} header_case_t;
+
+#define OTHER "Host: h\r\n"
+
+static const header_case_t header_cases[] = {
+    {NULL, BV_API_KEY_ABSENT, NULL},
+    {OTHER, BV_API_KEY_ABSENT, NULL},
+    {"X-Authorization: Bearer k1\r\n", BV_API_KEY_ABSENT, NULL},
+    {"Authorization: Bearer k1\r\n", BV_API_KEY_PRESENT, "k1"},
+    {OTHER "authorization: bearer k1\r\n", BV_API_KEY_PRESENT, "k1"},
+    {"AUTHORIZATION:BEARER k1\r\n" OTHER, BV_API_KEY_PRESENT, "k1"},
+    {"Authorization:   Bearer k1  \r\n", BV_API_KEY_PRESENT, "k1"},
+    {"Authorization: Bearer K1+/~._-=\r\n", BV_API_KEY_PRESENT, "K1+/~._-="},
+    {"Authorization:\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer \r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearerk1\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Basic k1\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: k1\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer  k1\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer\tk1\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k1 k2\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k1, Bearer k2\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k\x01\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k\x7f\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k\xc3\xa9\r\n", BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k1\r\n" OTHER "Authorization: Bearer k1\r\n",
+     BV_API_KEY_MALFORMED, NULL},
+    {"Authorization: Bearer k1\r\nauthorization : Bearer k2\r\n",
+     BV_API_KEY_MALFORMED, NULL},
+};
+
+START_TEST(test_headers)
+{
+    const header_case_t *row = &header_cases[_i];
+    char *key;
+    ck_assert_int_eq(bv_api_key_read(row->headers, &key), row->state);
+    if (row->key != NULL) {
+        ck_assert_str_eq(key, row->key);
+    }
+    else {
+        ck_assert_ptr_null(key);
+    }
+    bv_api_key_free(key);
+}
+END_TEST
+
+/* Around the longest key, and far beyond it. */
+static const size_t key_lengths[] = {1, BV_API_KEY_LIMIT_BYTES,
+                                     BV_API_KEY_LIMIT_BYTES + 1, 1000000};
+
+START_TEST(test_key_lengths)
+{
+    size_t length = key_lengths[_i];
+    char *text = g_strnfill(length, 'k');
+    char *headers = g_strdup_printf("Authorization: Bearer %s\r\n", text);
+    char *key;
+    ck_assert_int_eq(bv_api_key_read(headers, &key),
+                     length <= BV_API_KEY_LIMIT_BYTES ? BV_API_KEY_PRESENT
+                                                      : BV_API_KEY_MALFORMED);
+    bv_api_key_free(key);
+    g_free(headers);
+    g_free(text);
+}
+END_TEST
+
+/*
+ * Guards against a call that runs without a valid key, a call that is refused
+ * although it needs none, and a refusal for good by a node that knows of a
+ * newer configuration.
+ */
+typedef struct {
+    bool has_accounts;
+    bool is_outside;
+    bool is_public;
+    bool is_behind;
+    bool is_outdated;
+    /* NULL for no header. */
+    const char *key;
+    bv_access_t access;
+    /* NULL if no account applies. */
+    const char *account;
+} access_case_t;
+
+static const access_case_t access_cases[] = {
+    {false, true, false, false, false, NULL, BV_ACCESS_GRANTED, NULL},
+    {false, true, false, true, true, "k1", BV_ACCESS_GRANTED, NULL},
+    {true, true, false, false, false, "k1", BV_ACCESS_GRANTED, "a"},
+    {true, true, false, false, false, "k2", BV_ACCESS_GRANTED, "b"},
+    {true, true, false, false, false, "k3", BV_ACCESS_DENIED, NULL},
+    {true, true, false, false, false, NULL, BV_ACCESS_DENIED, NULL},
+    {true, true, false, true, false, "k1", BV_ACCESS_GRANTED, "a"},
+    {true, true, false, true, false, "k3", BV_ACCESS_UNDECIDED, NULL},
+    {true, true, false, true, false, NULL, BV_ACCESS_UNDECIDED, NULL},
+    {true, true, false, false, true, "k1", BV_ACCESS_OUTDATED, NULL},
+    {true, true, false, false, true, "k3", BV_ACCESS_OUTDATED, NULL},
+    {true, true, true, false, false, NULL, BV_ACCESS_GRANTED, NULL},
+    {true, true, true, false, false, "k1", BV_ACCESS_GRANTED, NULL},
+    {true, true, true, false, false, "k3", BV_ACCESS_GRANTED, NULL},
+    {true, true, true, true, true, "k3", BV_ACCESS_GRANTED, NULL},
+    {true, false, false, false, false, NULL, BV_ACCESS_GRANTED, NULL},
+    {true, false, false, true, true, "k1", BV_ACCESS_GRANTED, NULL},
+};
+
+/* The first key was digested with the secret of the previous cluster key. */
+static json_t *
+two_accounts(void)
+{
+    bv_key_digest_t digest;
+    char text[2 * BV_KEY_DIGEST_BYTES + 1];
+    digest_of(OTHER_CLUSTER_KEY, "k1", &digest);
+    bv_hex_write(text, digest.bytes, sizeof(digest.bytes));
+    return json_pack("{s:{s:[s]}, s:{s:[o]}}", "a", "key_digests", text, "b",
+                     "key_digests", digest_text("k2"));
+}
+
+START_TEST(test_access)
+{
+    const access_case_t *row = &access_cases[_i];
+    bv_key_secret_t secrets[2];
+    ck_assert(bv_key_secret_derive(CLUSTER_KEY, &secrets[0]));
+    ck_assert(bv_key_secret_derive(OTHER_CLUSTER_KEY, &secrets[1]));
+    json_t *section = two_accounts();
+    bv_accounts_t *accounts = build(section);
+    char *headers =
+        row->key != NULL
+            ? g_strdup_printf("Authorization: Bearer %s\r\n", row->key)
+            : NULL;
+    bv_access_input_t input = {
+        .accounts = row->has_accounts ? accounts : NULL,
+        .secrets = secrets,
+        .secret_count = G_N_ELEMENTS(secrets),
+        .headers = headers,
+        .is_outside = row->is_outside,
+        .is_public = row->is_public,
+        .is_behind = row->is_behind,
+        .is_outdated = row->is_outdated,
+    };
+    const bv_account_t *account;
+    ck_assert_int_eq(bv_access_decide(&input, &account), row->access);
+    if (row->account != NULL) {
+        ck_assert_str_eq(account->name, row->account);
+    }
+    else {
+        ck_assert_ptr_null(account);
+    }
+    g_free(headers);
+    bv_accounts_destroy(accounts);
+    json_decref(section);
+}
+END_TEST
+
+/*
+ * Guards against a key that reaches a target, and against a caller that
+ * chooses the account that a target is told.
+ */
+typedef struct {
+    const char *headers;
+    const char *account_header;
+    const char *account;
+    const char *forwarded;
+} forwarding_case_t;
+
+static const forwarding_case_t forwarding_cases[] = {
+    {OTHER "Authorization: Bearer k\r\nX: 1\r\n", "Tenant-Id", "a",
+     OTHER "X: 1\r\nTenant-Id: a\r\n"},
+    {"Tenant-Id: b\r\ntenant-id: c\r\n" OTHER, "Tenant-Id", "a",
+     OTHER "Tenant-Id: a\r\n"},
+    {"Tenant-Id: b\r\nauthorization: Bearer k\r\n" OTHER, "Tenant-Id", NULL,
+     OTHER},
+    {"Authorization : x\r\nTenant-Id : b\r\n" OTHER, "Tenant-Id", NULL, OTHER},
+    {"Tenant-Id: b\r\nAuthorization: k\r\n", NULL, "a", "Tenant-Id: b\r\n"},
+    {NULL, "Tenant-Id", "a", "Tenant-Id: a\r\n"},
+};
+
+START_TEST(test_forwarded_headers)
+{
+    const forwarding_case_t *row = &forwarding_cases[_i];
+    char *headers = bv_access_forwarded_headers(
+        row->headers, row->account_header, row->account);
+    ck_assert_str_eq(headers, row->forwarded);
+    g_free(headers);
+}
+END_TEST
+
+/*
+ * Guards against metrics that grow with the number of accounts, and against
+ * statuses that are counted as one.
+ */
+START_TEST(test_counters)
+{
+    static const uint16_t statuses[] = {200, 304, 401, 403, 404,
+                                        422, 429, 503, 504};
+    GString *text = g_string_new(NULL);
+    bv_account_counters_clear();
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        bv_account_counters_add("a\"b", statuses[i], true);
+    }
+    bv_account_counters_add(NULL, 401, true);
+    bv_account_counters_add("a\"b", 503, false);
+    for (int i = 0; i < 3 * BV_ACCOUNT_LABELS; i++) {
+        char *name = g_strdup_printf("account-%d", i);
+        bv_account_counters_add(name, 200, false);
+        g_free(name);
+    }
+    bv_account_counters_render(text);
+    char **lines = g_strsplit(text->str, "\n", -1);
+    /* Two accounts with 10 and 1 kinds, 98 others with 1, the rest as one. */
+    ck_assert_uint_eq(g_strv_length(lines), 2 + 10 + 1 + 98 + 1 + 1);
+    const char *const expected[] = {
+        "{account=\"a\\\"b\",status=\"401\",by=\"node\"} 1\n",
+        "{account=\"a\\\"b\",status=\"429\",by=\"node\"} 1\n",
+        "{account=\"a\\\"b\",status=\"503\",by=\"target\"} 1\n",
+        "{account=\"a\\\"b\",status=\"4xx\",by=\"node\"} 1\n",
+        "{account=\"\",status=\"401\",by=\"node\"} 1\n",
+        "{account=\"(others)\",status=\"2xx\",by=\"target\"} 202\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        ck_assert_msg(strstr(text->str, expected[i]) != NULL, "no %s in %s",
+                      expected[i], text->str);
+    }
+    g_strfreev(lines);
+    g_string_free(text, TRUE);
+    bv_account_counters_clear();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -239,6 +476,12 @@
         {"names", test_names, G_N_ELEMENTS(name_cases)},
         {"many", test_many, 1},
         {"section", test_section, 1},
+        {"headers", test_headers, G_N_ELEMENTS(header_cases)},
+        {"key_lengths", test_key_lengths, G_N_ELEMENTS(key_lengths)},
+        {"access", test_access, G_N_ELEMENTS(access_cases)},
+        {"forwarded_headers", test_forwarded_headers,
+         G_N_ELEMENTS(forwarding_cases)},
+        {"counters", test_counters, 1},
         {NULL}};
     return support_run("accounts", tests);
 }
--- a/tests/test_deploy_template.c
+++ b/tests/test_deploy_template.c
@@ -27,20 +27,28 @@
     int64_t drain_notice_ms;
     int64_t config_apply_ms;
     json_int_t shared_reserve;
+    int64_t revoke_ms;
+    bool revoke_fails_closed;
 } template_case_t;
 
 #define DEFAULT_DRAIN_LIMIT_MS 120000
 #define DRAIN_NOTICE_MS 2800
+#define DEFAULT_REVOKE_MS 5000
 
 static const template_case_t cases[] = {
     {FIELDS("\"GraceS\": 6, \"ConfigApplyMs\": 2500, \"BudgetSlack\": 50, "
             "\"BudgetWindowS\": 10, \"RetryBudgetRatio\": 0.2, "
             "\"Unknown\": true"),
-     5150, DRAIN_NOTICE_MS, 2500, 48},
-    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0},
+     5150, DRAIN_NOTICE_MS, 2500, 48, DEFAULT_REVOKE_MS, false},
+    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0, DEFAULT_REVOKE_MS, false},
+    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": true"),
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, true},
+    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": false"),
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, false},
     {FIELDS("\"BudgetSlack\": 124"), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS,
-     0, 122},
-    {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0},
+     0, 122, DEFAULT_REVOKE_MS, false},
+    {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0,
+     DEFAULT_REVOKE_MS, false},
 };
 
 static bv_settings_t *
@@ -94,6 +102,8 @@
     ck_assert_int_eq(settings->drain_limit_ms, row->drain_limit_ms);
     ck_assert_int_eq(settings->drain_notice_ms, row->drain_notice_ms);
     ck_assert_int_eq(settings->config_apply_ms, row->config_apply_ms);
+    ck_assert_int_eq(settings->revoke_ms, row->revoke_ms);
+    ck_assert_int_eq(settings->revoke_fails_closed, row->revoke_fails_closed);
     ck_assert_int_eq(shared_reserve(dialect), row->shared_reserve);
     bv_settings_destroy(settings);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -283,6 +283,9 @@
     {"{\"Version\":7," SERVICES ",\"VirtualHosts\":[]}", "Version"},
     {"{\"Version\":\"r7\"," SERVICES "}", "VirtualHosts"},
     {"{}", "Version"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"Public\":1"),
+     "Public: expected true or false"},
+    {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\",\"Public\":null"), NULL},
 };
 
 START_TEST(test_translate_configuration)
@@ -317,6 +320,189 @@
 }
 END_TEST
 
+/*
+ * The list "Tenants". Guards against accounts that lose a key, a class or a
+ * rate in translation, against keys in clear text in a bundle or a finding,
+ * and against an invalid entry that is accepted or reported without its place.
+ */
+#define CLUSTER_KEY                                                           \
+    "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define TENANTS(list)                                                         \
+    "{\"Version\":\"r7\",\"VirtualHosts\":[],\"Tenants\":" list "}"
+
+typedef struct {
+    const char *text;
+    /* Part of a finding; NULL if the list is valid. */
+    const char *finding;
+    /* The section "accounts" but for digests; NULL if there is none. */
+    const char *accounts;
+} tenant_case_t;
+
+static const tenant_case_t tenant_cases[] = {
+    {"{\"Version\":\"r7\",\"VirtualHosts\":[]}", NULL, NULL},
+    {TENANTS("null"), NULL, NULL},
+    {TENANTS("[]"), NULL, "{}"},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":[\"secret-1\",\"secret-2\"],"
+             "\"Priority\":0,\"RatePerS\":50,\"Burst\":9}]"),
+     NULL,
+     "{\"a\":{\"keys\":2,\"class\":\"critical\",\"rate_per_s\":50,"
+     "\"burst\":9}}"},
+    {TENANTS("[{\"Name\":\"a\",\"Priority\":1},{\"Name\":\"b\","
+             "\"Priority\":2},{\"Name\":\"c\",\"Priority\":3},"
+             "{\"Name\":\"d\",\"Priority\":99}]"),
+     NULL,
+     "{\"a\":{\"keys\":0,\"class\":\"normal\"},"
+     "\"b\":{\"keys\":0,\"class\":\"normal\"},"
+     "\"c\":{\"keys\":0,\"class\":\"batch\"},"
+     "\"d\":{\"keys\":0,\"class\":\"batch\"}}"},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":null,\"Priority\":null,"
+             "\"RatePerS\":null,\"Burst\":null}]"),
+     NULL, "{\"a\":{\"keys\":0}}"},
+    {TENANTS("[{\"Name\":\"a\",\"RatePerS\":2.9,\"Burst\":0.5}]"), NULL,
+     "{\"a\":{\"keys\":0,\"rate_per_s\":2,\"burst\":1}}"},
+    {TENANTS("[{\"Name\":\"a\",\"RatePerS\":0,\"Burst\":1e99}]"), NULL,
+     "{\"a\":{\"keys\":0,\"rate_per_s\":0,\"burst\":4294967295}}"},
+    {TENANTS("{}"), "/Tenants: expected a list", NULL},
+    {TENANTS("[7]"), "/Tenants/0/Name: expected a name", NULL},
+    {TENANTS("[{\"Name\":\"\"}]"), "/Tenants/0/Name: expected a name", NULL},
+    {TENANTS("[{\"Name\":\"a\\r\\nb\"}]"), "/Tenants/0/Name", NULL},
+    {TENANTS("[{\"Name\":\"a\"},{\"Name\":\"a\"}]"),
+     "/Tenants/1/Name: duplicate name", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"RatePerS\":-1}]"),
+     "/Tenants/0/RatePerS: expected a number, not below 0", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"Burst\":\"9\"}]"),
+     "/Tenants/0/Burst: expected a number", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"Priority\":-1}]"),
+     "/Tenants/0/Priority: expected a whole number", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":\"secret-1\"}]"),
+     "/Tenants/0/ApiKeys: expected a list", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":[\"\"]}]"),
+     "/Tenants/0/ApiKeys/0: expected a key", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":[\"secret 1\"]}]"),
+     "/Tenants/0/ApiKeys/0: expected a key", NULL},
+    {TENANTS("[{\"Name\":\"a\",\"ApiKeys\":[\"secret-1\"]},"
+             "{\"Name\":\"b\",\"ApiKeys\":[\"k\",\"secret-1\"]}]"),
+     "/Tenants/1/ApiKeys/1: duplicate key, as /Tenants/0/ApiKeys/0", NULL},
+};
+
+/* Replaces the digests by their number, which the table of cases states. */
+static void
+count_keys(json_t *accounts)
+{
+    const char *name;
+    json_t *account;
+    json_object_foreach(accounts, name, account) {
+        size_t count =
+            json_array_size(json_object_get(account, "key_digests"));
+        json_object_set_new(account, "keys", json_integer((json_int_t)count));
+        json_object_del(account, "key_digests");
+    }
+}
+
+START_TEST(test_translate_tenants)
+{
+    const tenant_case_t *row = &tenant_cases[_i];
+    bv_settings_t keyed_settings = {.gossip_key = CLUSTER_KEY};
+    const bv_dialect_t *dialect = bv_platform_dialect(&keyed_settings);
+    bv_findings_t *findings = bv_findings_create();
+    json_t *value = json_loads(row->text, 0, NULL);
+    ck_assert_ptr_nonnull(value);
+    json_t *bundle =
+        dialect->config_source->translate(dialect->context, value, findings);
+    char *problems = bv_findings_to_string(findings);
+    ck_assert_ptr_null(strstr(problems, "secret"));
+    if (row->finding != NULL) {
+        ck_assert_ptr_null(bundle);
+        ck_assert_msg(strstr(problems, row->finding) != NULL, "%s", problems);
+    }
+    else {
+        ck_assert_msg(bundle != NULL, "%s", problems);
+        char *text = json_dumps(bundle, 0);
+        ck_assert_ptr_null(strstr(text, "secret"));
+        free(text);
+        json_t *accounts =
+            json_object_get(json_object_get(bundle, "base"), "accounts");
+        json_t *expected =
+            row->accounts != NULL ? json_loads(row->accounts, 0, NULL) : NULL;
+        count_keys(accounts);
+        ck_assert_msg(expected == accounts || json_equal(expected, accounts),
+                      "case %d", _i);
+        json_decref(expected);
+    }
+    g_free(problems);
+    json_decref(bundle);
+    json_decref(value);
+    bv_findings_destroy(findings);
+}
+END_TEST
+
+/* The key that the platform states is the key that finds its account. */
+START_TEST(test_translated_keys_are_found)
+{
+    bv_settings_t keyed_settings = {.gossip_key = CLUSTER_KEY};
+    const bv_dialect_t *dialect = bv_platform_dialect(&keyed_settings);
+    bv_findings_t *findings = bv_findings_create();
+    bv_key_secret_t secret;
+    bv_key_digest_t digest;
+    json_t *value = json_loads(
+        "{\"Version\":\"r7\"," SERVICES ",\"VirtualHosts\":[{\"Hostname\":"
+        "\"h\",\"Paths\":[{\"Name\":\"one\",\"Type\":\"safe\",\"Prefix\":"
+        "\"/x/\",\"Service\":\"a\",\"Public\":true}]}],\"Tenants\":["
+        "{\"Name\":\"a\",\"ApiKeys\":[\"k1\",\"k2\"]},"
+        "{\"Name\":\"b\",\"ApiKeys\":[\"k3\"]}]}",
+        0, NULL);
+    json_t *bundle =
+        dialect->config_source->translate(dialect->context, value, findings);
+    bv_config_t *config =
+        bv_config_build(bundle, "any", 7, "bundle", findings);
+    ck_assert_ptr_nonnull(config);
+    ck_assert(bv_key_secret_derive(CLUSTER_KEY, &secret));
+    bv_key_digest(&secret, "k2", 2, &digest);
+    ck_assert_ptr_eq(bv_accounts_find_by_key(config->accounts, &digest),
+                     bv_accounts_find(config->accounts, "a"));
+    bv_key_digest(&secret, "k3", 2, &digest);
+    ck_assert_ptr_eq(bv_accounts_find_by_key(config->accounts, &digest),
+                     bv_accounts_find(config->accounts, "b"));
+    ck_assert(bv_config_find_route(config, "h", "GET", "/x/1")->is_public);
+    bv_config_unref(config);
+    json_decref(bundle);
+    json_decref(value);
+    bv_findings_destroy(findings);
+}
+END_TEST
+
+/*
+ * The bounds on removed keys. Guards against a node that goes on with old keys
+ * although it was told not to, and against one that stops although it was not.
+ */
+typedef struct {
+    const char *bounds;
+    int64_t revoke_ms;
+    bool fails_closed;
+} revoke_case_t;
+
+static const revoke_case_t revoke_cases[] = {
+    {"[]", 5000, false},
+    {"[\"RevokeMs=\", \"RevokeFailClosed=\"]", 5000, false},
+    {"[\"RevokeMs=3000\", \"RevokeFailClosed=false\"]", 3000, false},
+    {"[\"RevokeMs=3000\", \"RevokeFailClosed=true\"]", 3000, true},
+    {"[\"RevokeMs=-1\", \"RevokeFailClosed=yes\"]", 5000, false},
+};
+
+START_TEST(test_revoke_bounds)
+{
+    const revoke_case_t *row = &revoke_cases[_i];
+    bv_settings_t bounded_settings = {
+        .bounds = json_loads(row->bounds, 0, NULL),
+        .revoke_ms = 5000,
+    };
+    bv_platform_dialect(&bounded_settings);
+    ck_assert_int_eq(bounded_settings.revoke_ms, row->revoke_ms);
+    ck_assert_int_eq(bounded_settings.revoke_fails_closed, row->fails_closed);
+    json_decref(bounded_settings.bounds);
+}
+END_TEST
+
 /*
  * The platform's bounds on retries and on draining. Guards against nodes that
  * together exceed a bound, and against an invalid bound that takes effect.
@@ -458,6 +644,10 @@
          G_N_ELEMENTS(announcement_cases)},
         {"translate_configuration", test_translate_configuration,
          G_N_ELEMENTS(config_cases)},
+        {"translate_tenants", test_translate_tenants,
+         G_N_ELEMENTS(tenant_cases)},
+        {"translated_keys_are_found", test_translated_keys_are_found, 1},
+        {"revoke_bounds", test_revoke_bounds, G_N_ELEMENTS(revoke_cases)},
         {"apply_bounds", test_apply_bounds, G_N_ELEMENTS(bound_cases)},
         {"settle_transaction", test_settle_transaction, 1},
         {"decode_rows", test_decode_rows, 1},
