--- a/node/config_watch.c
+++ b/node/config_watch.c
@@ -186,6 +186,22 @@
                                            count_nodes(node));
 }
 
+/*
+ * Returns the longest wait of a watch; 0 if there is no limit. A node that
+ * refuses calls when the store was silent for `revoke_ms` has to hear from a
+ * store that works well before.
+ */
+static int64_t
+wait_limit_us(const bv_settings_t *settings)
+{
+    int64_t apply_us = settings->config_apply_ms * BV_US_PER_MS;
+    int64_t revoke_us = settings->revoke_ms * BV_US_PER_MS / 2;
+    if (!settings->revoke_fails_closed || revoke_us == 0) {
+        return apply_us;
+    }
+    return apply_us > 0 ? MIN(apply_us, revoke_us) : revoke_us;
+}
+
 void
 bv_config_watch_tick(bv_node_t *node)
 {
@@ -193,8 +209,7 @@
     if (!bv_config_watch_is_due(&node->config_watch, node->now_us)) {
         return;
     }
-    node->config_watch.wait_limit_us =
-        node->settings->config_apply_ms * BV_US_PER_MS;
+    node->config_watch.wait_limit_us = wait_limit_us(node->settings);
     bv_config_watch_start_query(&node->config_watch, node->now_us,
                                 count_nodes(node), node->random, &query);
     if (!send_query(node, &query)) {
