Tests: a key that is removed while its call runs, and the class of an account

That a call is finished when its key is removed, and that a call behind it on the same connection is judged by the version in force when it starts, followed from the design only. The platform's target of the tests can hold a call; the deployment test holds one, removes its key, and checks that it is answered with 200, the one behind it with 401, and that the target ran one call.

The choice between the classes of account and route is a function of core/accounts with a table of cases.

--- a/core/accounts.c
+++ b/core/accounts.c
@@ -242,6 +242,13 @@
     return g_hash_table_lookup(accounts->by_name, name);
 }
 
+bv_class_t
+bv_account_class(const bv_account_t *account, bv_class_t route_class)
+{
+    return account != NULL && account->has_importance ? account->importance
+                                                      : route_class;
+}
+
 void
 bv_accounts_foreach(const bv_accounts_t *accounts,
                     void (*visit)(void *context, const bv_account_t *account),
--- a/include/berylvane/core/accounts.h
+++ b/include/berylvane/core/accounts.h
@@ -75,6 +75,13 @@
 const bv_account_t *bv_accounts_find(const bv_accounts_t *accounts,
                                      const char *name);
 
+/*
+ * Returns the class of a call to a route of the class `route_class`: that of
+ * the account, if it has one. `account` may be NULL.
+ */
+bv_class_t bv_account_class(const bv_account_t *account,
+                            bv_class_t route_class);
+
 /* Calls `visit` for each account, in no particular order. */
 void bv_accounts_foreach(const bv_accounts_t *accounts,
                          void (*visit)(void *context,
--- a/node/calls.c
+++ b/node/calls.c
@@ -198,16 +198,6 @@
     state->priority = bv_priority(state->route->importance, 0);
 }
 
-/* Returns the class of a call: that of its account goes before the route's. */
-static bv_class_t
-importance_of(const bv_call_state_t *state)
-{
-    const bv_account_t *account = state->account;
-    return account != NULL && account->has_importance
-               ? account->importance
-               : state->route->importance;
-}
-
 static void
 init_entry(bv_node_t *node, bv_call_state_t *state)
 {
@@ -222,7 +212,7 @@
     const char *account =
         state->customer != NULL ? state->customer : state->call->label;
     state->priority =
-        bv_priority(importance_of(state),
+        bv_priority(bv_account_class(state->account, state->route->importance),
                     bv_customer_level(account != NULL ? account : ""));
 }
 
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -78,10 +78,9 @@
 }
 
 /* Answers a call as the target does, and stores the name of the caller. */
-static bool
-answer_call(void *context, bv_call_t *call)
+static void
+answer_as(platform_node_t *node, bv_call_t *call, gint mode)
 {
-    platform_node_t *node = context;
     char *id = bv_headers_get(call->headers, "Request-Id");
     char *caller = bv_headers_get(call->headers, "Caller-Service");
     g_free(node->caller);
@@ -95,7 +94,7 @@
         g_strdup_printf("Request-Id: %s\r\nResponse-Signature: s\r\n", id);
     char *refusal =
         g_strdup_printf("Request-Id: %s\r\nNot-Executed: 1\r\n", id);
-    switch (g_atomic_int_get(&node->mode)) {
+    switch (mode) {
     case PLATFORM_TARGET_REFUSE:
         reply.status = 503;
         reply.headers = refusal;
@@ -118,9 +117,42 @@
     g_free(refusal);
     g_free(headers);
     g_free(id);
+}
+
+static bool
+answer_call(void *context, bv_call_t *call)
+{
+    platform_node_t *node = context;
+    gint mode = g_atomic_int_get(&node->mode);
+    if (mode == PLATFORM_TARGET_HOLD) {
+        g_atomic_pointer_set(&node->held, call);
+        return true;
+    }
+    answer_as(node, call, mode);
     return true;
 }
 
+void
+platform_wait_for_held(platform_fixture_t *fixture, size_t node_index)
+{
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    while (g_atomic_pointer_get(&fixture->nodes[node_index].held) == NULL) {
+        ck_assert_msg(bv_clock_now_us() < end_us, "no call is held");
+        usleep(POLL_US);
+    }
+}
+
+void
+platform_answer_held(platform_fixture_t *fixture, size_t node_index)
+{
+    platform_node_t *node = &fixture->nodes[node_index];
+    bv_call_t *call = g_atomic_pointer_get(&node->held);
+    ck_assert_ptr_nonnull(call);
+    g_atomic_pointer_set(&node->held, NULL);
+    g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
+    answer_as(node, call, PLATFORM_TARGET_SERVE);
+}
+
 uint16_t
 platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                    const char *state)
@@ -199,7 +231,8 @@
         "\"back\"}],\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":["
         "{\"Name\":\"one\",\"Prefix\":\"/a/\",\"Type\":\"safe\",\"Service\":"
         "\"back\"},{\"Name\":\"two\",\"Prefix\":\"/p/\",\"Type\":\"safe\","
-        "\"Service\":\"back\",\"Public\":true}]}],\"Tenants\":%s}",
+        "\"Service\":\"back\",\"Public\":true},{\"Name\":\"three\",\"Prefix\":"
+        "\"/u/\",\"Type\":\"unsafe\",\"Service\":\"back\"}]}],\"Tenants\":%s}",
         version, tenants);
     int64_t row_version = write_row(fixture, "op", "config", config);
     g_free(config);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -35,6 +35,8 @@
     PLATFORM_TARGET_REFUSE,
     PLATFORM_TARGET_REFUSE_WITHOUT_ID,
     PLATFORM_TARGET_WRONG_ID,
+    /* Keeps one call until platform_answer_held(). */
+    PLATFORM_TARGET_HOLD,
 };
 
 typedef struct {
@@ -53,6 +55,8 @@
     /* Headers Tenant-Id and Authorization of the last call; NULL for none. */
     char *account;
     char *authorization;
+    /* The call that is kept in mode PLATFORM_TARGET_HOLD, or NULL. */
+    bv_call_t *held;
 } platform_node_t;
 
 /* Zeroed before the first step. */
@@ -100,8 +104,9 @@
                               uint32_t version, const char *prefix);
 
 /*
- * Writes the operator's row: the prefixes "/a/", and "/p/" which is public, to
- * the service "back", and the list "Tenants".
+ * Writes the operator's row: the prefixes "/a/", "/p/" which is public, and
+ * "/u/" which is not idempotent, to the service "back", and the list
+ * "Tenants".
  */
 int64_t platform_write_accounts(const platform_fixture_t *fixture,
                                 uint32_t version, const char *tenants);
@@ -114,6 +119,10 @@
 uint16_t platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                             const char *state);
 
+/* Waits for the call that the target of a node holds; answers it. */
+void platform_wait_for_held(platform_fixture_t *fixture, size_t node_index);
+void platform_answer_held(platform_fixture_t *fixture, size_t node_index);
+
 /* Sends a caller's request through a node; returns the status. */
 uint16_t platform_call(const platform_fixture_t *fixture, size_t node_index,
                        const char *path, const char *extra_headers);
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -321,6 +321,37 @@
     }
 }
 
+/*
+ * A call that runs is finished when its key is removed; one that waits behind
+ * it is refused by the version that is in force when its turn comes.
+ */
+static void
+check_removal_while_running(void)
+{
+    platform_node_t *back = &fixture.nodes[1];
+    uint16_t port = fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND];
+    int fd = raw_connect(port);
+    int other_fd = raw_connect(port);
+    wait_for_key(fd, GET_WITH("k1"), 200);
+    gint before = g_atomic_int_get(&back->served);
+    g_atomic_int_set(&back->mode, PLATFORM_TARGET_HOLD);
+    send_text(fd, GET_WITH("k1"));
+    platform_wait_for_held(&fixture, 1);
+    send_text(fd, "GET /u/1 HTTP/1.1\r\n" BASE_HEADERS WITH_KEY("k1") "\r\n");
+    platform_write_accounts(&fixture, 3,
+                            "[{\"Name\":\"gold\",\"ApiKeys\":[\"k3\"]}]");
+    /* The first call with a removed key that is not held by the target. */
+    wait_for_key(other_fd,
+                 "GET /none/1 HTTP/1.1\r\n" BASE_HEADERS WITH_KEY("k1") "\r\n",
+                 401);
+    platform_answer_held(&fixture, 1);
+    ck_assert_uint_eq(read_status(fd), 200);
+    ck_assert_uint_eq(read_status(fd), 401);
+    ck_assert_int_eq(g_atomic_int_get(&back->served), before + 1);
+    close(fd);
+    close(other_fd);
+}
+
 static void
 check_status_page(void)
 {
@@ -365,11 +396,9 @@
     check_body_is_not_awaited();
     check_status_page();
     int fd = raw_connect(fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND]);
-    wait_for_key(fd, GET_WITH("k1"), 200);
-    /* The next version removes a key and adds one, for open connections too.
-     */
-    platform_write_accounts(&fixture, 3,
-                            "[{\"Name\":\"gold\",\"ApiKeys\":[\"k3\"]}]");
+    wait_for_key(fd, GET_WITH("k2"), 200);
+    /* The next version removes keys and adds one, for open connections too. */
+    check_removal_while_running();
     wait_for_key(fd, GET_WITH("k3"), 200);
     ck_assert_str_eq(back->account, "gold");
     wait_for_key(fd, GET_WITH("k1"), 401);
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -103,6 +103,34 @@
 }
 END_TEST
 
+/* Guards against an account's calls that are shed by the class of the route.
+ */
+typedef struct {
+    bv_account_t account;
+    bv_class_t route_class;
+    bv_class_t expected;
+} class_case_t;
+
+static const class_case_t class_cases[] = {
+    {{.has_importance = true, .importance = BV_CLASS_CRITICAL},
+     BV_CLASS_BATCH,
+     BV_CLASS_CRITICAL},
+    {{.has_importance = true, .importance = BV_CLASS_BATCH},
+     BV_CLASS_CRITICAL,
+     BV_CLASS_BATCH},
+    {{.importance = BV_CLASS_NORMAL}, BV_CLASS_CRITICAL, BV_CLASS_CRITICAL},
+};
+
+START_TEST(test_classes)
+{
+    const class_case_t *row = &class_cases[_i];
+    ck_assert_int_eq(bv_account_class(&row->account, row->route_class),
+                     row->expected);
+    ck_assert_int_eq(bv_account_class(NULL, row->route_class),
+                     row->route_class);
+}
+END_TEST
+
 static const char *const duplicate_places[] = {
     "t: /accounts/a/key_digests/1: duplicate key",
     "t: /accounts/b/key_digests/0: duplicate key",
@@ -473,6 +501,7 @@
         {"digest", test_digest, 1},
         {"fields", test_fields, 1},
         {"duplicates", test_duplicates, G_N_ELEMENTS(duplicate_places)},
+        {"classes", test_classes, G_N_ELEMENTS(class_cases)},
         {"names", test_names, G_N_ELEMENTS(name_cases)},
         {"many", test_many, 1},
         {"section", test_section, 1},
