Quota of an account across all nodes: permits lent by one node

The rate of an account holds over all nodes together, but a node sees only its own callers: the limit was stored and nothing enforced it.

core/quota_members chooses the lessor of an account by rendezvous hashing, and keeps a node from lending just after its start, a suspension or a cut-off, and in the smaller part of a divided small cluster. core/quota_lessor is the token bucket that permits are lent from. core/quota_holder keeps the permits of a node, the calls that wait for one, and the floor that applies when the lessor does not answer. Nothing uses them yet, so that callers see no change.

Evidence: the simulated cluster checks at each request that runs the bound (rate x window + burst) x 1.1 + 20 over the last 5 s.

--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,485 @@
+#include "quota_cluster.h"
+#include "support.h"
+
+#include <stdio.h>
+
+#define MS 1000
+#define SECOND_US 1000000
+#define START_US (4 * SECOND_US)
+
+/* What happens to the nodes in a scenario, 2 s after the load has begun. */
+typedef enum {
+    FAULT_NONE,
+    /* All load moves to one node within a second. */
+    FAULT_LOAD_MOVES,
+    FAULT_LESSOR_KILLED,
+    /* The lessor and then its successor are killed. */
+    FAULT_LESSOR_KILLED_TWICE,
+    FAULT_LESSOR_RESTARTED,
+    FAULT_LESSOR_FROZEN,
+    FAULT_LESSOR_FROZEN_SHORTLY,
+    /* Half of the nodes, with the lessor, cannot reach the others. */
+    FAULT_HALVES,
+    FAULT_ONE_CUT_OFF,
+    /* The limit is halved while half of the nodes are cut off. */
+    FAULT_LOWERED_IN_HALVES,
+    FAULT_ALL_RESTARTED,
+} fault_t;
+
+typedef struct {
+    const char *name;
+    uint32_t nodes;
+    bv_quota_limit_t limit;
+    /* Load of all nodes together as a multiple of the rate. */
+    double load;
+    fault_t fault;
+    /*
+     * Least and most that may be admitted in 20 s, in percent of what one
+     * bucket for all nodes would admit.
+     */
+    uint32_t least_percent;
+    uint32_t most_percent;
+} scenario_t;
+
+static const scenario_t scenarios[] = {
+    {"below quota", 8, {200, 50}, 0.8, FAULT_NONE, 99, 110},
+    {"at most one call a second at a node",
+     8,
+     {6, 4},
+     0.8,
+     FAULT_NONE,
+     97,
+     120},
+    {"7.5 times the usual load", 8, {200, 50}, 6.0, FAULT_NONE, 97, 104},
+    {"7.5 times the usual load, large account",
+     8,
+     {2000, 400},
+     6.0,
+     FAULT_NONE,
+     97,
+     104},
+    {"no burst", 8, {200, 0}, 0.8, FAULT_NONE, 97, 110},
+    {"one node", 1, {200, 50}, 0.8, FAULT_NONE, 99, 110},
+    {"load moves to one node", 8, {200, 50}, 0.8, FAULT_LOAD_MOVES, 99, 110},
+    {"lessor killed", 8, {200, 50}, 0.8, FAULT_LESSOR_KILLED, 75, 110},
+    {"two lessors killed",
+     8,
+     {200, 50},
+     0.8,
+     FAULT_LESSOR_KILLED_TWICE,
+     60,
+     110},
+    {"lessor restarted", 8, {200, 50}, 0.8, FAULT_LESSOR_RESTARTED, 75, 110},
+    {"lessor frozen for 6 s", 8, {200, 50}, 6.0, FAULT_LESSOR_FROZEN, 50, 104},
+    {"lessor frozen for 0.9 s",
+     8,
+     {200, 50},
+     0.8,
+     FAULT_LESSOR_FROZEN_SHORTLY,
+     90,
+     110},
+    {"halves", 8, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
+    {"halves of a small cluster", 4, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
+    {"halves of two nodes", 2, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
+    {"one of three cut off", 3, {200, 50}, 6.0, FAULT_ONE_CUT_OFF, 30, 104},
+    {"limit lowered in halves",
+     8,
+     {200, 50},
+     6.0,
+     FAULT_LOWERED_IN_HALVES,
+     20,
+     104},
+    {"all restarted", 8, {200, 50}, 6.0, FAULT_ALL_RESTARTED, 60, 104},
+};
+
+static void
+set_loads(quota_cluster_t *cluster, double load)
+{
+    for (uint32_t i = 0; i < cluster->count; i++) {
+        quota_cluster_set_load(cluster, i, load / cluster->count);
+    }
+}
+
+static void
+move_load(quota_cluster_t *cluster, double load)
+{
+    for (int step = 1; step <= 5; step++) {
+        double rest = load * (5 - step) / 5;
+        set_loads(cluster, rest);
+        quota_cluster_set_load(cluster, 0,
+                               load - rest + rest / cluster->count);
+        quota_cluster_run(cluster, 200 * MS);
+    }
+}
+
+/* Puts the lessor and `others` more nodes on another side. */
+static void
+separate(quota_cluster_t *cluster, uint32_t others)
+{
+    uint32_t lessor = quota_cluster_lessor(cluster);
+    for (uint32_t i = 0; i <= others; i++) {
+        quota_cluster_set_side(cluster, (lessor + i) % cluster->count, 1);
+    }
+}
+
+static void
+lower_limits(quota_cluster_t *cluster, const bv_quota_limit_t *limit,
+             uint32_t side)
+{
+    bv_quota_limit_t half = {limit->rate_per_s / 2, limit->burst / 2};
+    for (uint32_t i = 0; i < cluster->count; i++) {
+        if (cluster->nodes[i].side == side) {
+            quota_cluster_set_limit(cluster, i, &half);
+        }
+    }
+}
+
+static void
+join_sides(quota_cluster_t *cluster)
+{
+    for (uint32_t i = 0; i < cluster->count; i++) {
+        quota_cluster_set_side(cluster, i, 0);
+    }
+}
+
+static void
+run_divided(quota_cluster_t *cluster, const scenario_t *row, uint32_t others)
+{
+    separate(cluster, others);
+    quota_cluster_run(cluster, 3 * SECOND_US);
+    if (row->fault == FAULT_LOWERED_IN_HALVES) {
+        lower_limits(cluster, &row->limit, 0);
+    }
+    quota_cluster_run(cluster, 5 * SECOND_US);
+    if (row->fault == FAULT_LOWERED_IN_HALVES) {
+        lower_limits(cluster, &row->limit, 1);
+    }
+    join_sides(cluster);
+}
+
+static void
+play_fault(quota_cluster_t *cluster, const scenario_t *row)
+{
+    uint32_t lessor = quota_cluster_lessor(cluster);
+    switch (row->fault) {
+    case FAULT_NONE:
+        break;
+    case FAULT_LOAD_MOVES:
+        move_load(cluster, row->load * row->limit.rate_per_s);
+        break;
+    case FAULT_LESSOR_KILLED:
+        quota_cluster_kill(cluster, lessor);
+        break;
+    case FAULT_LESSOR_KILLED_TWICE:
+        quota_cluster_kill(cluster, lessor);
+        quota_cluster_run(cluster, 5 * SECOND_US);
+        quota_cluster_kill(cluster, quota_cluster_lessor(cluster));
+        break;
+    case FAULT_LESSOR_RESTARTED:
+        quota_cluster_start(cluster, lessor);
+        break;
+    case FAULT_LESSOR_FROZEN:
+        quota_cluster_freeze(cluster, lessor, 6 * SECOND_US);
+        break;
+    case FAULT_LESSOR_FROZEN_SHORTLY:
+        quota_cluster_freeze(cluster, lessor, 900 * MS);
+        break;
+    case FAULT_HALVES:
+    case FAULT_LOWERED_IN_HALVES:
+        run_divided(cluster, row, cluster->count / 2 - 1);
+        break;
+    case FAULT_ONE_CUT_OFF:
+        run_divided(cluster, row, 0);
+        break;
+    case FAULT_ALL_RESTARTED:
+        for (uint32_t i = 0; i < cluster->count; i++) {
+            quota_cluster_start(cluster, i);
+        }
+        break;
+    }
+}
+
+/*
+ * Guards against a quota that is exceeded in any window (checked by the
+ * cluster at each request), and against requests below it that are refused.
+ */
+START_TEST(test_scenario)
+{
+    const scenario_t *row = &scenarios[_i];
+    quota_cluster_t cluster;
+    support_random_run_t run = support_random_run((guint32)_i + 1, 0);
+    quota_cluster_create(&cluster, run.seed, row->nodes, &row->limit);
+    quota_cluster_run(&cluster, START_US);
+    set_loads(&cluster, row->load * row->limit.rate_per_s);
+    quota_cluster_run(&cluster, 2 * SECOND_US);
+    quota_cluster_clear_counts(&cluster);
+    int64_t start_us = sim_now_us(cluster.sim);
+    play_fault(&cluster, row);
+    quota_cluster_run(&cluster,
+                      start_us + 20 * SECOND_US - sim_now_us(cluster.sim));
+    double percent = 100.0 * (double)cluster.admitted / (double)cluster.ideal;
+    printf("%s: %.1f%% of %" G_GUINT64_FORMAT " admitted, %" G_GUINT64_FORMAT
+           " refused, %" G_GUINT64_FORMAT " in a window, %" G_GUINT64_FORMAT
+           " messages\n",
+           row->name, percent, (guint64)cluster.ideal,
+           (guint64)cluster.refused, (guint64)cluster.most_in_window,
+           (guint64)cluster.messages);
+    ck_assert_uint_ge((uint64_t)percent, row->least_percent);
+    ck_assert_uint_le((uint64_t)percent, row->most_percent);
+    quota_cluster_destroy(&cluster);
+}
+END_TEST
+
+static void
+play_random_fault(quota_cluster_t *cluster)
+{
+    uint32_t index =
+        (uint32_t)sim_random_between(cluster->sim, 0, (int)cluster->count);
+    bv_quota_limit_t limit = {
+        (uint32_t)sim_random_between(cluster->sim, 1, 400),
+        (uint32_t)sim_random_between(cluster->sim, 0, 100)};
+    switch (sim_random_between(cluster->sim, 0, 8)) {
+    case 0:
+        quota_cluster_start(cluster, index);
+        return;
+    case 1:
+        quota_cluster_freeze(
+            cluster, index,
+            sim_random_between(cluster->sim, 10 * MS, 8 * SECOND_US));
+        return;
+    case 2:
+        separate(cluster, index);
+        return;
+    case 3:
+    case 4:
+        join_sides(cluster);
+        return;
+    case 5:
+        for (uint32_t i = 0; i < cluster->count; i++) {
+            quota_cluster_set_limit(cluster, i, &limit);
+        }
+        return;
+    case 6:
+        quota_cluster_set_load(cluster, index,
+                               sim_random_between(cluster->sim, 0, 300));
+        return;
+    default:
+        cluster->loss_percent = sim_random_between(cluster->sim, 0, 30);
+        return;
+    }
+}
+
+/*
+ * Guards against permits that are created or used twice when messages are lost
+ * or late, nodes freeze, restart or are separated, the lessor changes, calls
+ * return their permits, or the limit changes.
+ */
+START_TEST(test_random)
+{
+    quota_cluster_t cluster;
+    bv_quota_limit_t limit = {200, 50};
+    support_random_run_t run = support_random_run(1, 1000000);
+    quota_cluster_create(&cluster, run.seed, 9, &limit);
+    cluster.return_percent = 20;
+    quota_cluster_run(&cluster, START_US);
+    set_loads(&cluster, 600);
+    for (uint64_t steps = 0; steps < run.events; steps += 10000) {
+        play_random_fault(&cluster);
+        quota_cluster_run_steps(&cluster, 10000);
+    }
+    printf("%" G_GUINT64_FORMAT " admitted, %" G_GUINT64_FORMAT " refused\n",
+           (guint64)cluster.admitted, (guint64)cluster.refused);
+    ck_assert_uint_gt(cluster.admitted, 0);
+    ck_assert_uint_gt(cluster.refused, 0);
+    quota_cluster_destroy(&cluster);
+}
+END_TEST
+
+typedef struct {
+    int64_t at_us;
+    uint32_t needed;
+    uint32_t wanted;
+    uint32_t granted;
+    int64_t wait_us;
+} lend_case_t;
+
+static const lend_case_t lend_steps[] = {
+    /* Empty at the time from which the node is the lessor. */
+    {0, 1, 1, 0, 100 * MS},
+    {100 * MS, 1, 1, 1, 0},
+    {1100 * MS, 4, 4, 4, 0},
+    /* 6 are left of 20: nothing beyond what is needed. */
+    {1100 * MS, 1, 10, 1, 0},
+    /* Full: the upper half is lent ahead. */
+    {5 * SECOND_US, 1, 15, 10, 0},
+    {5 * SECOND_US, 20, 20, 10, 100 * MS},
+};
+
+/*
+ * Guards against a bucket that starts with permits, and against permits lent
+ * ahead that are missing elsewhere.
+ */
+START_TEST(test_lend)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    for (size_t i = 0; i < G_N_ELEMENTS(lend_steps); i++) {
+        const lend_case_t *step = &lend_steps[i];
+        bv_quota_request_t request = {QUOTA_ACCOUNT, step->needed,
+                                      step->wanted};
+        bv_quota_reply_t reply =
+            bv_quota_lessor_lend(lessor, step->at_us, 0, &request);
+        ck_assert_int_eq(reply.status, BV_QUOTA_GRANTED);
+        ck_assert_uint_eq(reply.granted, step->granted);
+        ck_assert_int_eq(reply.wait_us, step->wait_us);
+    }
+    bv_quota_request_t unknown = {"unknown", 1, 1};
+    ck_assert_int_eq(bv_quota_lessor_lend(lessor, 0, 0, &unknown).status,
+                     BV_QUOTA_NOT_LESSOR);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+static bool
+is_never(void *context, const char *account)
+{
+    (void)context;
+    (void)account;
+    return false;
+}
+
+/*
+ * Guards against a lessor that keeps its permits while another one lends:
+ * after a change the bucket is filled only from the new time on.
+ */
+START_TEST(test_forget)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_request_t request = {QUOTA_ACCOUNT, 20, 20};
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    bv_quota_lessor_lend(lessor, SECOND_US, 0, &request);
+    bv_quota_lessor_forget(lessor, is_never, NULL);
+    bv_quota_reply_t reply =
+        bv_quota_lessor_lend(lessor, 10 * SECOND_US, 9 * SECOND_US, &request);
+    ck_assert_uint_eq(reply.granted, 10);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    bv_member_state_t state;
+    uint64_t incarnation;
+    int64_t at_us;
+} member_step_t;
+
+typedef struct {
+    member_step_t steps[4];
+    /* Time of a tick before the result is read; 0 for none. */
+    int64_t last_tick_us;
+    bool is_cut_off;
+    int64_t read_us;
+    bool is_settled;
+} member_case_t;
+
+static const member_case_t member_cases[] = {
+    /* Alone: the lessor once it has run long enough. */
+    {.read_us = 1999 * MS, .is_settled = false},
+    {.read_us = 2000 * MS, .is_settled = true},
+    /* Cut off, and for the same time afterwards. */
+    {.last_tick_us = 3 * SECOND_US, .is_cut_off = true, .read_us = 4999 * MS},
+    {.last_tick_us = 3 * SECOND_US,
+     .is_cut_off = true,
+     .read_us = 5000 * MS,
+     .is_settled = true},
+    /* One of two, of which the other one is dead: the first name lends. */
+    {{{"a", BV_MEMBER_ALIVE, 1, 0}, {"a", BV_MEMBER_DEAD, 1, 3 * SECOND_US}},
+     .read_us = 9 * SECOND_US,
+     .is_settled = false},
+    {{{"z", BV_MEMBER_ALIVE, 1, 0}, {"z", BV_MEMBER_DEAD, 1, 3 * SECOND_US}},
+     .read_us = 9 * SECOND_US,
+     .is_settled = true},
+    /* The other one has left. */
+    {{{"a", BV_MEMBER_ALIVE, 1, 0}, {"a", BV_MEMBER_LEFT, 1, 3 * SECOND_US}},
+     .read_us = 9 * SECOND_US,
+     .is_settled = true},
+};
+
+static void
+tick_until(bv_quota_members_t *members, int64_t from_us, int64_t to_us,
+           const member_case_t *row)
+{
+    for (int64_t now_us = from_us; now_us <= to_us; now_us += MS) {
+        for (size_t i = 0; i < G_N_ELEMENTS(row->steps); i++) {
+            const member_step_t *step = &row->steps[i];
+            if (step->name == NULL || step->at_us != now_us) {
+                continue;
+            }
+            bv_member_t record = {.incarnation = step->incarnation,
+                                  .state = step->state};
+            g_strlcpy(record.name, step->name, BV_NAME_BYTES);
+            bv_quota_members_update(members, now_us, &record);
+        }
+        bv_quota_members_tick(members, now_us,
+                              row->is_cut_off && now_us <= row->last_tick_us);
+    }
+}
+
+/*
+ * Guards against two nodes that lend at once: one that has just started, was
+ * cut off or sees too few members must not lend.
+ */
+START_TEST(test_members)
+{
+    const member_case_t *row = &member_cases[_i];
+    uint64_t incarnation;
+    bv_quota_members_options_t options = {"m", 7, SECOND_US, 2 * SECOND_US,
+                                          SECOND_US};
+    bv_quota_members_t *members = bv_quota_members_create(&options, 0);
+    tick_until(members, 0, row->read_us, row);
+    const char *lessor =
+        bv_quota_members_lessor(members, QUOTA_ACCOUNT, &incarnation);
+    ck_assert(bv_quota_members_is_lessor(members, QUOTA_ACCOUNT) ==
+              row->is_settled);
+    ck_assert((lessor != NULL) == row->is_settled);
+    bv_quota_members_destroy(members);
+}
+END_TEST
+
+/*
+ * Guards against a suspended lessor that lends what its bucket gained while
+ * another node lent.
+ */
+START_TEST(test_suspension)
+{
+    bv_quota_members_options_t options = {"m", 7, SECOND_US, 2 * SECOND_US,
+                                          SECOND_US};
+    member_case_t row = {0};
+    bv_quota_members_t *members = bv_quota_members_create(&options, 0);
+    tick_until(members, 0, 3 * SECOND_US, &row);
+    ck_assert(bv_quota_members_is_lessor(members, QUOTA_ACCOUNT));
+    ck_assert(bv_quota_members_tick(members, 9 * SECOND_US, false));
+    ck_assert(!bv_quota_members_is_lessor(members, QUOTA_ACCOUNT));
+    tick_until(members, 9 * SECOND_US, 11 * SECOND_US, &row);
+    ck_assert(bv_quota_members_is_lessor(members, QUOTA_ACCOUNT));
+    ck_assert_int_eq(bv_quota_members_since_us(members), 11 * SECOND_US);
+    bv_quota_members_destroy(members);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    support_parse_arguments(argc, argv);
+    const support_test_t tests[] = {
+        {"lend", test_lend, 1},
+        {"forget", test_forget, 1},
+        {"members", test_members, G_N_ELEMENTS(member_cases)},
+        {"suspension", test_suspension, 1},
+        {"scenario", test_scenario, G_N_ELEMENTS(scenarios)},
+        {"random", test_random, 1},
+        {NULL}};
+    return support_run("quota", tests);
+}
