Calls of outside callers are charged to their account's quota

An account's rate and burst were accepted and not enforced: callers of an account could send any load, and took the room of other accounts.

node/quotas charges a call after its key is accepted and backpressure admits it, before its first attempt. Without a permit in stock the call waits while the node asks the account's lessor (new peer messages quota_request and quota_reply, one for each lessor and iteration of the loop, at most 64 accounts). A call over quota is answered 429 as not run, with the reason quota and a Retry-After from the lessor's bucket, spread by half. A call that ends as not run returns its permit; one whose caller leaves or whose deadline passes leaves the wait. Without an account with a rate nothing is sent. The bounds QuotaWindowS, QuotaOverage and QuotaSlack reach the nodes through the template.

Damaged and oversized bodies of the messages are refused (test_message).

--- a/common/clock.c
+++ b/common/clock.c
@@ -3,14 +3,26 @@
 #include <apr_time.h>
 #include <time.h>
 
-int64_t
-bv_clock_now_us(void)
+static int64_t
+read_clock_us(clockid_t clock)
 {
     struct timespec now;
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    clock_gettime(clock, &now);
     return now.tv_sec * BV_US_PER_S + now.tv_nsec / 1000;
 }
 
+int64_t
+bv_clock_now_us(void)
+{
+    return read_clock_us(CLOCK_MONOTONIC);
+}
+
+int64_t
+bv_clock_boot_us(void)
+{
+    return read_clock_us(CLOCK_BOOTTIME);
+}
+
 int64_t
 bv_clock_wall_us(void)
 {
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -4,12 +4,15 @@
 #include <xxhash.h>
 
 /*
- * Members below which the membership cannot tell a cut off half from evicted
- * members: it takes four suspects as a sign of a fault on its own side.
+ * Time for which a dead member counts as one that may be cut off. A longer
+ * time would keep a node from lending after most members were replaced under
+ * other names.
  */
-#define SMALL_CLUSTER_MEMBERS 8
+#define DOUBT_US (INT64_C(120) * 1000000)
 /* Time after which a dead member is removed from the list. */
 #define FORGET_AFTER_US (INT64_C(3600) * 1000000)
+/* Interval of checks that no change of a member causes. */
+#define CHECK_US 100000
 
 typedef struct {
     char name[BV_NAME_BYTES];
@@ -36,6 +39,9 @@
     int64_t since_us;
     uint32_t most_seen;
     bool has_changed;
+    /* Whether this node is in the smaller part, and when to check it next. */
+    bool is_minority;
+    int64_t check_due_us;
 };
 
 static uint64_t
@@ -163,6 +169,7 @@
 bv_quota_members_update(bv_quota_members_t *members, int64_t now_us,
                         const bv_member_t *record)
 {
+    members->check_due_us = now_us;
     if (record->state < BV_MEMBER_LEFT) {
         add_present(members, now_us, record);
         return;
@@ -182,23 +189,32 @@
     return candidate->is_present && !candidate->is_suspect;
 }
 
+/* Whether the member may run, as far as this node knows. */
+static bool
+is_counted(const candidate_t *candidate, int64_t now_us)
+{
+    return candidate->is_present ||
+           now_us < candidate->settled_us - FORGET_AFTER_US + DOUBT_US;
+}
+
 /*
- * Whether this node is in the smaller part of a small cluster that is divided.
- * Of two equal parts, the one with the first name counts as the larger. A
- * suspect counts as not reached: the smaller part must stop to lend before the
- * larger one evicts it.
+ * Returns whether this node is in the smaller part of a divided cluster. Of
+ * two equal parts, the one with the first name counts as the larger. A suspect
+ * counts as not reached: the smaller part must stop to lend before the larger
+ * one evicts it.
  */
 static bool
-is_minority(const bv_quota_members_t *members)
+check_minority(const bv_quota_members_t *members, int64_t now_us)
 {
-    uint32_t total = members->candidates->len;
+    uint32_t total = 0;
     uint32_t reached = 0;
     const candidate_t *first = self_of(members);
-    if (total >= SMALL_CLUSTER_MEMBERS) {
-        return false;
-    }
-    for (guint i = 0; i < total; i++) {
+    for (guint i = 0; i < members->candidates->len; i++) {
         const candidate_t *candidate = candidate_at(members, i);
+        if (!is_counted(candidate, now_us)) {
+            continue;
+        }
+        total++;
         reached += is_reached(candidate);
         first = strcmp(candidate->name, first->name) < 0 ? candidate : first;
     }
@@ -234,7 +250,11 @@
     candidate_t *self = self_of(members);
     bool was_suspended =
         now_us - members->last_tick_us >= members->options.suspension_us;
-    if (was_suspended || is_cut_off || is_minority(members)) {
+    if (now_us >= members->check_due_us) {
+        members->is_minority = check_minority(members, now_us);
+        members->check_due_us = now_us + CHECK_US;
+    }
+    if (was_suspended || is_cut_off || members->is_minority) {
         unsettle(members, now_us, self);
         self->settled_us = now_us + members->options.own_settle_us;
         members->since_us = MAX(members->since_us, self->settled_us);
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -205,6 +205,63 @@
     }
 }
 
+static void
+print_used_quota(const json_t *entry)
+{
+    const char *account;
+    json_int_t admitted;
+    json_int_t from_floor;
+    json_int_t refused;
+    json_int_t stock;
+    int is_silent;
+    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:b}",
+                    "account", &account, "admitted", &admitted,
+                    "admitted_from_floor", &from_floor, "refused", &refused,
+                    "stock", &stock, "lessor_silent", &is_silent) == 0) {
+        printf("account %-16s %" JSON_INTEGER_FORMAT
+               " admitted (%" JSON_INTEGER_FORMAT
+               " from the floor), %" JSON_INTEGER_FORMAT
+               " refused, %" JSON_INTEGER_FORMAT " in stock%s\n",
+               account, admitted, from_floor, refused, stock,
+               is_silent ? ", LESSOR SILENT" : "");
+    }
+}
+
+static void
+print_lent_quota(const json_t *entry)
+{
+    const char *account;
+    json_int_t rate;
+    json_int_t burst;
+    json_int_t granted;
+    json_int_t refused;
+    json_int_t permits;
+    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:I}",
+                    "account", &account, "rate_per_s", &rate, "burst", &burst,
+                    "granted", &granted, "refused", &refused, "permits",
+                    &permits) == 0) {
+        printf("lends   %-16s %" JSON_INTEGER_FORMAT
+               " a second, burst %" JSON_INTEGER_FORMAT
+               ": %" JSON_INTEGER_FORMAT " lent, %" JSON_INTEGER_FORMAT
+               " refused, %" JSON_INTEGER_FORMAT " in the bucket\n",
+               account, rate, burst, granted, refused, permits);
+    }
+}
+
+/* Prints the quotas of accounts: what this node used, and what it lends. */
+static void
+print_quotas(const json_t *quotas)
+{
+    size_t index;
+    json_t *entry;
+    json_array_foreach(json_object_get(quotas, "used"), index, entry) {
+        print_used_quota(entry);
+    }
+    json_array_foreach(json_object_get(quotas, "lent"), index, entry) {
+        print_lent_quota(entry);
+    }
+}
+
 int
 ctl_status(const ctl_options_t *options)
 {
@@ -223,6 +280,7 @@
     print_sites(members);
     print_config(status);
     print_accounts(json_object_get(status, "accounts"));
+    print_quotas(json_object_get(status, "quotas"));
     json_decref(status);
     return 0;
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -78,6 +78,10 @@
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
+    X(QUOTA_ASKED, "quota_asked", "requests for permits sent to lessors")     \
+    X(QUOTA_LENT, "quota_lent", "permits lent by this node")                  \
+    X(QUOTA_NOT_LENT, "quota_not_lent", "requests refused as not the lessor") \
+    X(QUOTA_FLOOR, "quota_floor", "calls admitted without the lessor")        \
     X(INVARIANTS, "invariant_failures", "invariants found broken")
 
 typedef enum {
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -37,6 +37,7 @@
     X(WRONG_TARGET, "wrong_target")                                           \
     X(ANSWER_FOREIGN, "answer_foreign")                                       \
     X(UNAUTHORIZED, "unauthorized")                                           \
-    X(CONFIG_BEHIND, "config_behind")
+    X(CONFIG_BEHIND, "config_behind")                                         \
+    X(QUOTA, "quota")
 
 #endif
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -1,6 +1,7 @@
 #ifndef BERYLVANE_NODE_CALL_H
 #define BERYLVANE_NODE_CALL_H
 
+#include "berylvane/core/quota_holder.h"
 #include "berylvane/node/node.h"
 
 /*
@@ -44,6 +45,11 @@
     /* Time of the call's next timer, and its entry in `call_timers`. */
     int64_t due_us;
     GSequenceIter *timer;
+    /* Permit of the account that the call uses. */
+    bv_quota_permit_t permit;
+    /* Delay that a caller who is over quota is told. */
+    int64_t quota_retry_us;
+    bool waits_for_permit;
     uint16_t priority;
     /* The call entered the cluster here, and opened the credit ledger. */
     bool is_entry;
--- a/include/berylvane/node/journal.h
+++ b/include/berylvane/node/journal.h
@@ -28,6 +28,9 @@
     BV_DECISION_REFUSED,
     /* The target answered, or the work on it failed. */
     BV_DECISION_SERVED,
+    /* A call was charged to its account; the subject is the permit's source.
+     */
+    BV_DECISION_CHARGED,
     BV_DECISION_MEMBER,
     BV_DECISION_ADOPTED,
     BV_DECISION_REJECTED,
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -49,6 +49,9 @@
 /* What checks the API keys of outside callers; see node/access.h. */
 typedef struct bv_access_gate bv_access_gate_t;
 
+/* Permits that this node lends and holds; see node/quotas.h. */
+typedef struct bv_quotas bv_quotas_t;
+
 /* An event for the decision thread, which calls `run` with `data`. */
 typedef struct {
     void (*run)(bv_node_t *node, void *data);
@@ -155,6 +158,7 @@
     /* Open queries to other nodes about keys, by id. */
     GHashTable *key_queries;
     int64_t key_queries_due_us;
+    bv_quotas_t *quotas;
     bv_router_t *router;
     bv_traffic_split_t *traffic_split;
     bv_admission_t *admission;
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -88,6 +88,10 @@
      */
     int64_t revoke_ms;
     bool revoke_fails_closed;
+    /* Bound on the requests of an account; see core/quota.h. */
+    int64_t quota_window_ms;
+    int64_t quota_overage_percent;
+    int64_t quota_slack;
     /* Period in which this node's table row is renewed and others are read. */
     int64_t rendezvous_ms;
     int64_t store_timeout_ms;
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -58,6 +58,10 @@
     BV_PEER_PROGRESS_QUERY,
     /* State that an attempt had when it was queried. */
     BV_PEER_PROGRESS,
+    /* Requests permits of accounts from their lessor. */
+    BV_PEER_QUOTA_REQUEST,
+    /* Permits that the lessor grants. */
+    BV_PEER_QUOTA_REPLY,
     BV_PEER_KIND_END,
 } bv_peer_kind_t;
 
@@ -84,6 +88,8 @@
  * - PROGRESS_QUERY: session, attempt (0 to learn only whether the peer
  *   answers)
  * - PROGRESS: attempt, served_state
+ * - QUOTA_REQUEST, QUOTA_REPLY: attempt (a number that the reply repeats),
+ *   body (see peer/quota_codec.h)
  */
 typedef struct {
     bv_peer_kind_t kind;
--- a/node/calls.c
+++ b/node/calls.c
@@ -3,6 +3,7 @@
 #include "berylvane/core/retry_after.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/keyed.h"
+#include "berylvane/node/quotas.h"
 
 #include <string.h>
 
@@ -11,6 +12,9 @@
 retry_after_us(const bv_node_t *node, const bv_call_state_t *state,
                const bv_reply_t *reply)
 {
+    if (reply->reason == BV_REASON_QUOTA) {
+        return state->quota_retry_us;
+    }
     if (reply->outcome == BV_OUTCOME_RAN || reply->status != 503) {
         return 0;
     }
@@ -107,6 +111,7 @@
     full_reply.closes_connection = node->draining && state->call->is_outside;
     count_outcome(reply->outcome);
     bv_access_count_reply(state, reply);
+    bv_quotas_settle(node, state, reply->outcome);
     bv_decision_t decision = {
         .kind = BV_DECISION_ANSWERED,
         .request = state->id,
@@ -334,7 +339,7 @@
         return;
     }
     if (!needs_key) {
-        bv_calls_start_attempts(node, state);
+        bv_quotas_begin(node, state);
         return;
     }
     bv_keyed_begin(node, state);
@@ -361,7 +366,7 @@
 bv_calls_handle_caller_gone(bv_node_t *node, void *data)
 {
     const uint64_t *tag = data;
-    const bv_call_state_t *state = bv_calls_find(node, *tag);
+    bv_call_state_t *state = bv_calls_find(node, *tag);
     if (state == NULL) {
         bv_access_handle_caller_gone(node, *tag);
     }
@@ -369,6 +374,10 @@
         bv_counter_add(BV_COUNT_CALLERS_GONE, 1);
         bv_request_caller_gone(state->request, node->now_us);
     }
+    else if (state->key == NULL && bv_quotas_is_waiting(state)) {
+        bv_counter_add(BV_COUNT_CALLERS_GONE, 1);
+        bv_quotas_end_wait(node, state, BV_REASON_CANCELLED);
+    }
     g_free(data);
 }
 
@@ -473,6 +482,10 @@
         if (state == NULL || state->due_us > node->now_us) {
             break;
         }
+        if (bv_quotas_is_waiting(state)) {
+            bv_quotas_end_wait(node, state, BV_REASON_EXPIRED);
+            continue;
+        }
         if (!bv_call_has_open_attempts(state)) {
             bv_keyed_expire(node, state);
             continue;
--- a/node/configs.c
+++ b/node/configs.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/gauges.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
+#include "berylvane/node/quotas.h"
 #include "berylvane/platform/head.h"
 
 #include <string.h>
@@ -68,6 +69,7 @@
     bv_members_configure_admission(node);
     bv_node_apply_caller_limits(node);
     bv_members_update_retry_reserve(node);
+    bv_quotas_apply_config(node);
     bv_retry_budgets_set_window(node->retry_budgets, config->retry_window_us);
     bv_counter_add(BV_COUNT_CONFIG_ADOPTED, 1);
     bv_gauge_set(BV_GAUGE_CONFIG_GENERATION, (int64_t)config->generation);
--- a/node/decisions.c
+++ b/node/decisions.c
@@ -23,6 +23,7 @@
     switch (decision->kind) {
     case BV_DECISION_ROUTED:
     case BV_DECISION_ADMITTED:
+    case BV_DECISION_CHARGED:
         return BV_LOG_CLASS_SUCCESS;
     case BV_DECISION_ANSWERED:
     case BV_DECISION_SERVED:
--- a/node/journal.c
+++ b/node/journal.c
@@ -32,6 +32,7 @@
     [BV_DECISION_ADMITTED] = "admitted",
     [BV_DECISION_REFUSED] = "refused",
     [BV_DECISION_SERVED] = "served",
+    [BV_DECISION_CHARGED] = "charged",
     [BV_DECISION_MEMBER] = "member",
     [BV_DECISION_ADOPTED] = "adopted",
     [BV_DECISION_REJECTED] = "rejected",
--- a/node/keyed.c
+++ b/node/keyed.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/headers.h"
 #include "berylvane/common/log.h"
+#include "berylvane/node/quotas.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -94,7 +95,7 @@
         bv_keyed_settle(node, state, &refused);
         return;
     }
-    bv_calls_start_attempts(node, state);
+    bv_quotas_begin(node, state);
 }
 
 static void
--- a/node/loop.c
+++ b/node/loop.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
+#include "berylvane/node/quotas.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -124,6 +125,7 @@
     bv_calls_tick(node);
     bv_serve_tick(node);
     bv_keyed_tick(node);
+    bv_quotas_tick(node);
     bv_members_tick(node);
     bv_configs_tick(node);
     bv_drain_tick(node);
@@ -212,6 +214,8 @@
         run_source(node, events[i].data.u32);
     }
     run_local_events(node);
+    bv_quotas_flush(node);
+    run_local_events(node);
     if (node->now_us >= node->next_tick_us) {
         run_periodic_work(node);
         run_local_events(node);
--- a/node/members.c
+++ b/node/members.c
@@ -3,6 +3,7 @@
 #include "berylvane/common/log.h"
 #include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
+#include "berylvane/node/quotas.h"
 
 #include <string.h>
 
@@ -86,6 +87,7 @@
 {
     bv_node_t *node = context;
     bv_router_update(node->router, member);
+    bv_quotas_handle_member(node, member);
     bv_members_update_retry_reserve(node);
     bv_calls_handle_member_change(node, member);
     bv_decision_t decision = {
--- a/node/node.c
+++ b/node/node.c
@@ -5,6 +5,8 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/access.h"
+#include "berylvane/node/call.h"
+#include "berylvane/node/quotas.h"
 
 #include <string.h>
 
@@ -88,6 +90,7 @@
     node->sessions = bv_sessions_create(&sessions);
     bv_keyed_create(node);
     bv_access_create(node);
+    bv_quotas_create(node);
     node->admission = bv_admission_create(&admission);
     node->router = bv_router_create(&router);
     node->traffic_split = bv_traffic_split_create(node->random);
@@ -333,6 +336,7 @@
     bv_backpressure_table_destroy(node->called_backpressure);
     bv_backpressure_table_destroy(node->downstream_backpressure);
     bv_admission_destroy(node->admission);
+    bv_quotas_destroy(node);
     bv_keyed_destroy(node);
     bv_access_destroy(node);
     bv_sessions_destroy(node->sessions);
--- a/node/peers.c
+++ b/node/peers.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
+#include "berylvane/node/quotas.h"
 
 #include <string.h>
 
@@ -118,6 +119,14 @@
     case BV_PEER_KEY_ANSWER:
         bv_key_peers_handle_answer(node, message);
         break;
+    case BV_PEER_QUOTA_REQUEST:
+        bv_quotas_handle_request(node, message);
+        break;
+    case BV_PEER_QUOTA_REPLY:
+        if (is_for_this_incarnation(node, message)) {
+            bv_quotas_handle_reply(node, message);
+        }
+        break;
     default:
         bv_counter_add(BV_COUNT_PEER_BAD, 1);
         break;
--- a/node/settings.c
+++ b/node/settings.c
@@ -83,6 +83,9 @@
     {.name = "revoke_fails_closed",
      .kind = BV_FIELD_BOOLEAN,
      .offset = offsetof(bv_settings_t, revoke_fails_closed)},
+    NUMBER("quota_window_ms", quota_window_ms, false, 100, 600000),
+    NUMBER("quota_overage_percent", quota_overage_percent, false, 0, 1000),
+    NUMBER("quota_slack", quota_slack, false, 0, 1000000),
     NUMBER("rendezvous_ms", rendezvous_ms, false, 100, 3600000),
     NUMBER("store_timeout_ms", store_timeout_ms, false, 50, 60000),
     NUMBER("claim_window_ms", claim_window_ms, false, 0, 1000),
@@ -242,6 +245,9 @@
     settings->suspect_timeout_ms = 5000;
     settings->config_poll_ms = 10000;
     settings->revoke_ms = 5000;
+    settings->quota_window_ms = 5000;
+    settings->quota_overage_percent = 10;
+    settings->quota_slack = 20;
     settings->rendezvous_ms = 120000;
     settings->store_timeout_ms = 2000;
     settings->claim_window_ms = 10;
--- a/node/status.c
+++ b/node/status.c
@@ -4,6 +4,7 @@
 #include "berylvane/core/config_freshness.h"
 #include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
+#include "berylvane/node/quotas.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -90,7 +91,7 @@
         node->config != NULL ? (json_int_t)node->config->generation : 0;
     return json_pack(
         "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, "
-        "s:o*}",
+        "s:o*, s:o*}",
         "name", node->settings->name, "data_centre",
         node->settings->data_centre, "region", node->settings->region,
         "draining", node->draining, "generation", generation, "calls",
@@ -101,7 +102,8 @@
         (json_int_t)bv_admission_threshold(node->admission), "limit",
         (json_int_t)bv_admission_limit(node->admission), "config",
         render_config(node, (uint64_t)generation), "members",
-        render_members(node), "accounts", render_accounts(node));
+        render_members(node), "accounts", render_accounts(node), "quotas",
+        bv_quotas_render(node));
 }
 
 static void
--- a/tests/test_deploy_template.c
+++ b/tests/test_deploy_template.c
@@ -29,6 +29,9 @@
     json_int_t shared_reserve;
     int64_t revoke_ms;
     bool revoke_fails_closed;
+    int64_t quota_window_ms;
+    int64_t quota_overage_percent;
+    int64_t quota_slack;
 } template_case_t;
 
 #define DEFAULT_DRAIN_LIMIT_MS 120000
@@ -39,16 +42,21 @@
     {FIELDS("\"GraceS\": 6, \"ConfigApplyMs\": 2500, \"BudgetSlack\": 50, "
             "\"BudgetWindowS\": 10, \"RetryBudgetRatio\": 0.2, "
             "\"Unknown\": true"),
-     5150, DRAIN_NOTICE_MS, 2500, 48, DEFAULT_REVOKE_MS, false},
-    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0, DEFAULT_REVOKE_MS, false},
+     5150, DRAIN_NOTICE_MS, 2500, 48, DEFAULT_REVOKE_MS, false, 5000, 10, 20},
+    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0, DEFAULT_REVOKE_MS, false, 5000,
+     10, 20},
     {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": true"),
-     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, true},
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, true, 5000, 10, 20},
     {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": false"),
-     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, false},
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, false, 5000, 10, 20},
     {FIELDS("\"BudgetSlack\": 124"), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS,
-     0, 122, DEFAULT_REVOKE_MS, false},
+     0, 122, DEFAULT_REVOKE_MS, false, 5000, 10, 20},
     {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0,
-     DEFAULT_REVOKE_MS, false},
+     DEFAULT_REVOKE_MS, false, 5000, 10, 20},
+    {FIELDS("\"QuotaWindowS\": 2.5, \"QuotaOverage\": 0.29, "
+            "\"QuotaSlack\": 30"),
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, DEFAULT_REVOKE_MS, false,
+     2500, 29, 30},
 };
 
 static bv_settings_t *
@@ -105,6 +113,10 @@
     ck_assert_int_eq(settings->revoke_ms, row->revoke_ms);
     ck_assert_int_eq(settings->revoke_fails_closed, row->revoke_fails_closed);
     ck_assert_int_eq(shared_reserve(dialect), row->shared_reserve);
+    ck_assert_int_eq(settings->quota_window_ms, row->quota_window_ms);
+    ck_assert_int_eq(settings->quota_overage_percent,
+                     row->quota_overage_percent);
+    ck_assert_int_eq(settings->quota_slack, row->quota_slack);
     bv_settings_destroy(settings);
 }
 END_TEST
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -1,4 +1,5 @@
 #include "berylvane/peer/message.h"
+#include "berylvane/peer/quota_codec.h"
 #include "support.h"
 
 #include <string.h>
@@ -62,12 +63,129 @@
 }
 END_TEST
 
+/* A decoded body must equal the entries that were encoded. */
+START_TEST(test_quota_round_trip)
+{
+    const bv_quota_request_t requests[] = {{"acme", 2, 9}, {"zeta", 0, 1}};
+    const bv_quota_reply_t replies[] = {
+        {"acme", BV_QUOTA_GRANTED, 2, 0, 0},
+        {"zeta", BV_QUOTA_NOT_LESSOR, 0, 1000, 2000}};
+    bv_quota_requests_t decoded;
+    bv_quota_replies_t decoded_replies;
+    GBytes *body = bv_quota_requests_encode(requests, 2);
+    ck_assert(bv_quota_requests_decode(body, &decoded));
+    g_bytes_unref(body);
+    body = bv_quota_replies_encode(replies, 2);
+    ck_assert(bv_quota_replies_decode(body, &decoded_replies));
+    g_bytes_unref(body);
+    ck_assert_uint_eq(decoded.count, 2);
+    ck_assert_uint_eq(decoded_replies.count, 2);
+    for (int i = 0; i < 2; i++) {
+        ck_assert_str_eq(decoded.entries[i].account, requests[i].account);
+        ck_assert_uint_eq(decoded.entries[i].needed, requests[i].needed);
+        ck_assert_uint_eq(decoded.entries[i].wanted, requests[i].wanted);
+        const bv_quota_reply_t *reply = &decoded_replies.entries[i];
+        ck_assert_str_eq(reply->account, replies[i].account);
+        ck_assert_int_eq(reply->status, replies[i].status);
+        ck_assert_uint_eq(reply->granted, replies[i].granted);
+        ck_assert_int_eq(reply->wait_us, replies[i].wait_us);
+        ck_assert_int_eq(reply->retry_us, replies[i].retry_us);
+    }
+    bv_quota_requests_clear(&decoded);
+    bv_quota_replies_clear(&decoded_replies);
+}
+END_TEST
+
+typedef struct {
+    uint32_t count;
+    size_t name_bytes;
+    uint32_t needed;
+    uint32_t wanted;
+    bool is_valid;
+} quota_body_case_t;
+
+static const quota_body_case_t quota_bodies[] = {
+    {1, 1, 1, 1, true},
+    {BV_QUOTA_ENTRIES_LIMIT, BV_QUOTA_NAME_LIMIT_BYTES, 0,
+     BV_QUOTA_PERMITS_LIMIT, true},
+    {0, 1, 1, 1, true},
+    {BV_QUOTA_ENTRIES_LIMIT + 1, 1, 1, 1, false},
+    {1, BV_QUOTA_NAME_LIMIT_BYTES + 1, 1, 1, false},
+    {1, 1, 0, BV_QUOTA_PERMITS_LIMIT + 1, false},
+    {1, 1, 2, 1, false},
+};
+
+/* Guards against a peer's message that states more than the limits. */
+START_TEST(test_quota_limits)
+{
+    const quota_body_case_t *row = &quota_bodies[_i];
+    bv_quota_request_t requests[BV_QUOTA_ENTRIES_LIMIT + 1];
+    bv_quota_requests_t decoded;
+    char *name = g_strnfill(row->name_bytes, 'n');
+    for (uint32_t i = 0; i < row->count; i++) {
+        requests[i] = (bv_quota_request_t){name, row->needed, row->wanted};
+    }
+    GBytes *body = bv_quota_requests_encode(requests, row->count);
+    ck_assert(bv_quota_requests_decode(body, &decoded) == row->is_valid);
+    bv_quota_requests_clear(&decoded);
+    g_bytes_unref(body);
+    g_free(name);
+}
+END_TEST
+
+static void
+decode_quota_body(const uint8_t *data, gsize size)
+{
+    bv_quota_requests_t requests;
+    bv_quota_replies_t replies;
+    GBytes *body = g_bytes_new(data, size);
+    bv_quota_requests_decode(body, &requests);
+    bv_quota_replies_decode(body, &replies);
+    bv_quota_requests_clear(&requests);
+    bv_quota_replies_clear(&replies);
+    g_bytes_unref(body);
+}
+
+/* Guards against crashes on corrupted bodies, like test_damaged. */
+START_TEST(test_quota_damaged)
+{
+    support_random_run_t run = support_random_run(1, 100000);
+    GRand *random = g_rand_new_with_seed(run.seed);
+    const bv_quota_reply_t replies[] = {
+        {"acme", BV_QUOTA_GRANTED, 2, 3, 4},
+        {"zeta", BV_QUOTA_NOT_LESSOR, 0, 1000, 2000}};
+    const bv_quota_request_t requests[] = {{"acme", 2, 9}, {"zeta", 0, 1}};
+    GBytes *bodies[] = {bv_quota_requests_encode(requests, 2),
+                        bv_quota_replies_encode(replies, 2)};
+    for (uint64_t i = 0; i < run.events; i++) {
+        gsize size;
+        const void *data = g_bytes_get_data(bodies[i % 2], &size);
+        uint8_t *copy = g_memdup2(data, size);
+        gint32 position = g_rand_int_range(random, 0, (gint32)size);
+        copy[position] = (uint8_t)g_rand_int(random);
+        decode_quota_body(copy, size);
+        decode_quota_body(
+            copy, (gsize)g_rand_int_range(random, 0, (gint32)size + 1));
+        g_free(copy);
+    }
+    bv_quota_requests_t none;
+    ck_assert(!bv_quota_requests_decode(NULL, &none));
+    g_bytes_unref(bodies[0]);
+    g_bytes_unref(bodies[1]);
+    g_rand_free(random);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     support_parse_arguments(argc, argv);
-    const support_test_t tests[] = {{"round_trip", test_round_trip, 1},
-                                    {"damaged", test_damaged, 1},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"round_trip", test_round_trip, 1},
+        {"damaged", test_damaged, 1},
+        {"quota_round_trip", test_quota_round_trip, 1},
+        {"quota_limits", test_quota_limits, G_N_ELEMENTS(quota_bodies)},
+        {"quota_damaged", test_quota_damaged, 1},
+        {NULL}};
     return support_run("message", tests);
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -401,6 +401,13 @@
     {{{"z", BV_MEMBER_ALIVE, 1, 0}, {"z", BV_MEMBER_DEAD, 1, 3 * SECOND_US}},
      .read_us = 9 * SECOND_US,
      .is_settled = true},
+    /* After 120 s the dead one is taken for gone. */
+    {{{"a", BV_MEMBER_ALIVE, 1, 0}, {"a", BV_MEMBER_DEAD, 1, 3 * SECOND_US}},
+     .read_us = 124 * SECOND_US,
+     .is_settled = false},
+    {{{"a", BV_MEMBER_ALIVE, 1, 0}, {"a", BV_MEMBER_DEAD, 1, 3 * SECOND_US}},
+     .read_us = 126 * SECOND_US,
+     .is_settled = true},
     /* The other one has left. */
     {{{"a", BV_MEMBER_ALIVE, 1, 0}, {"a", BV_MEMBER_LEFT, 1, 3 * SECOND_US}},
      .read_us = 9 * SECOND_US,
