A dotted request id needs a key unless the request runs here

An outside caller whose Request-Id held a dot was taken for the local target and needed no API key, since both use one listener on the users' platform.

While accounts are configured, such a call now runs without a key only if the request before the dot runs on the node's target. Any other is refused with 503, not run: a call of a target whose request has ended is not told 401.

--- a/core/access.c
+++ b/core/access.c
@@ -99,9 +99,12 @@
 bv_access_decide(const bv_access_input_t *input, const bv_account_t **account)
 {
     *account = NULL;
-    if (input->accounts == NULL || !input->is_outside || input->is_public) {
+    if (input->accounts == NULL || input->is_public) {
         return BV_ACCESS_GRANTED;
     }
+    if (!input->is_outside) {
+        return input->is_unverified ? BV_ACCESS_UNVERIFIED : BV_ACCESS_GRANTED;
+    }
     if (input->is_outdated) {
         return BV_ACCESS_OUTDATED;
     }
--- a/include/berylvane/caller/call.h
+++ b/include/berylvane/caller/call.h
@@ -34,6 +34,11 @@
     bv_call_kind_t kind;
     /* The call came from an outside caller. */
     bool is_outside;
+    /*
+     * The call came to the listener for outside callers, and only its id says
+     * that the local target makes it.
+     */
+    bool is_unverified;
     /* Never NULL. */
     char *method;
     /* Path and query as received, not decoded. Never NULL. */
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -75,6 +75,8 @@
     X(ACCESS_HELD, "access_held", "calls held for a newer configuration")     \
     X(ACCESS_UNDECIDED, "access_undecided",                                   \
       "calls refused with 503 since their key could not be judged")           \
+    X(ACCESS_UNVERIFIED, "access_unverified",                                 \
+      "calls without a key for a request that does not run here")             \
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
--- a/include/berylvane/core/access.h
+++ b/include/berylvane/core/access.h
@@ -39,6 +39,11 @@
     BV_ACCESS_DENIED,
     /* There is no valid key, but a newer configuration may contain it. */
     BV_ACCESS_UNDECIDED,
+    /*
+     * The call says that the local target makes it, for a request that does
+     * not run there: it is late, or an outside caller tries to avoid the key.
+     */
+    BV_ACCESS_UNVERIFIED,
     /*
      * The configuration is too old to tell whether keys are still valid, and
      * the node is set to refuse calls then.
@@ -56,6 +61,8 @@
     const char *headers;
     /* The call came from an outside caller. */
     bool is_outside;
+    /* The call says that the local target makes it, and this is not shown. */
+    bool is_unverified;
     /* The route needs no key. */
     bool is_public;
     /* A newer configuration is known and not in force. */
--- a/node/access.c
+++ b/node/access.c
@@ -73,6 +73,15 @@
                settings->revoke_ms * BV_US_PER_MS;
 }
 
+/* Whether the request that a call of the target names runs on the target. */
+static bool
+is_of_running_work(const bv_node_t *node, const bv_call_t *call)
+{
+    bv_id_t id;
+    return call->request_id != NULL && bv_id_parse(call->request_id, &id) &&
+           g_hash_table_contains(node->served_by_request, &id);
+}
+
 static bv_access_t
 decide(const bv_node_t *node, const bv_call_t *call, const bv_config_t *config,
        const bv_route_t *route, const bv_account_t **account)
@@ -83,6 +92,8 @@
         .secret_count = node->access->secret_count,
         .headers = call->headers,
         .is_outside = call->is_outside,
+        .is_unverified =
+            call->is_unverified && !is_of_running_work(node, call),
         .is_public = route != NULL && route->is_public,
         .is_behind = is_behind(node),
         .is_outdated = is_outdated(node),
@@ -247,6 +258,11 @@
         refusal->reason = BV_REASON_UNAUTHORIZED;
         refusal->headers = CHALLENGE;
         return false;
+    case BV_ACCESS_UNVERIFIED:
+        bv_counter_add(BV_COUNT_ACCESS_UNVERIFIED, 1);
+        refusal->status = STATUS_UNAVAILABLE;
+        refusal->reason = BV_REASON_UNAUTHORIZED;
+        return false;
     case BV_ACCESS_UNDECIDED:
     case BV_ACCESS_OUTDATED:
         bv_counter_add(BV_COUNT_ACCESS_UNDECIDED, 1);
