Quota: calls over quota share requests to the lessor

At 7.5 times the usual load of an account of 2000 requests per second, nearly each call sent a request of its own, since the next permit was due within a millisecond: 344,071 messages for 240,000 calls in 20 s over 8 nodes.

A refusal now stands for at least 10 ms at the node, and for a second after it only one request with waiting calls is open. What the bucket gains meanwhile stays in it.

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -20,6 +20,16 @@
  * calls may leave permits before, as a node may return some.
  */
 #define REFUSAL_LIMIT_US (100 * US_PER_MS)
+/*
+ * Least time, which bounds the requests of a node for an account that is over
+ * quota to 100 in a second. What the bucket gains meanwhile stays in it.
+ */
+#define REFUSAL_LEAST_US (10 * US_PER_MS)
+/*
+ * Time after a refusal in which only one request with waiting calls is open:
+ * the calls that arrive meanwhile share the next one.
+ */
+#define OVER_QUOTA_US (1000 * US_PER_MS)
 /* Retry time that is stated when the lessor does not answer. */
 #define FLOOR_RETRY_US (1000 * US_PER_MS)
 #define FLOOR_SHARE 0.5
@@ -60,6 +70,7 @@
     int64_t hold_until_us;
     bool is_silent;
     int64_t probe_due_us;
+    int64_t last_refused_us;
     int64_t refused_until_us;
     int64_t refused_retry_us;
     double floor_permits;
@@ -530,6 +541,14 @@
                : 0;
 }
 
+/* Whether the calls that wait must share the next request. */
+static bool
+must_share(const account_t *account, int64_t now_us)
+{
+    return account->asked > 0 &&
+           now_us - account->last_refused_us < OVER_QUOTA_US;
+}
+
 /* Returns false if the account has nothing to send now. */
 static bool
 build_entry(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
@@ -570,7 +589,7 @@
         account_t *account = pending->pdata[i];
         entry_t entry;
         account->is_pending = false;
-        if (now_us < account->hold_until_us) {
+        if (now_us < account->hold_until_us || must_share(account, now_us)) {
             mark_pending(holder, account);
         }
         else if (build_entry(holder, account, now_us, &entry)) {
@@ -675,7 +694,9 @@
 handle_refused(const bv_quota_holder_t *holder, account_t *account,
                int64_t now_us, uint32_t count, const bv_quota_reply_t *reply)
 {
-    account->refused_until_us = now_us + MIN(reply->wait_us, REFUSAL_LIMIT_US);
+    account->last_refused_us = now_us;
+    account->refused_until_us =
+        now_us + CLAMP(reply->wait_us, REFUSAL_LEAST_US, REFUSAL_LIMIT_US);
     account->refused_retry_us = reply->retry_us;
     for (uint32_t i = 0; i < count && account->waiters.length > 0; i++) {
         refuse_first(holder, account, reply->retry_us);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -97,8 +97,8 @@
 END_TEST
 
 typedef struct {
-    uint32_t count;
     size_t name_bytes;
+    uint32_t count;
     uint32_t needed;
     uint32_t wanted;
     bool is_valid;
@@ -106,11 +106,11 @@
 
 static const quota_body_case_t quota_bodies[] = {
     {1, 1, 1, 1, true},
-    {BV_QUOTA_ENTRIES_LIMIT, BV_QUOTA_NAME_LIMIT_BYTES, 0,
+    {BV_QUOTA_NAME_LIMIT_BYTES, BV_QUOTA_ENTRIES_LIMIT, 0,
      BV_QUOTA_PERMITS_LIMIT, true},
-    {0, 1, 1, 1, true},
-    {BV_QUOTA_ENTRIES_LIMIT + 1, 1, 1, 1, false},
-    {1, BV_QUOTA_NAME_LIMIT_BYTES + 1, 1, 1, false},
+    {1, 0, 1, 1, true},
+    {1, BV_QUOTA_ENTRIES_LIMIT + 1, 1, 1, false},
+    {BV_QUOTA_NAME_LIMIT_BYTES + 1, 1, 1, 1, false},
     {1, 1, 0, BV_QUOTA_PERMITS_LIMIT + 1, false},
     {1, 1, 2, 1, false},
 };
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -28,10 +28,10 @@
 
 typedef struct {
     const char *name;
-    uint32_t nodes;
-    bv_quota_limit_t limit;
     /* Load of all nodes together as a multiple of the rate. */
     double load;
+    bv_quota_limit_t limit;
+    uint32_t nodes;
     fault_t fault;
     /*
      * Least and most that may be admitted in 20 s, in percent of what one
@@ -42,54 +42,54 @@
 } scenario_t;
 
 static const scenario_t scenarios[] = {
-    {"below quota", 8, {200, 50}, 0.8, FAULT_NONE, 99, 110},
+    {"below quota", 0.8, {200, 50}, 8, FAULT_NONE, 99, 110},
     {"at most one call a second at a node",
-     8,
-     {6, 4},
      0.8,
+     {6, 4},
+     8,
      FAULT_NONE,
      97,
      120},
-    {"7.5 times the usual load", 8, {200, 50}, 6.0, FAULT_NONE, 97, 104},
+    {"7.5 times the usual load", 6.0, {200, 50}, 8, FAULT_NONE, 97, 104},
     {"7.5 times the usual load, large account",
-     8,
-     {2000, 400},
      6.0,
+     {2000, 400},
+     8,
      FAULT_NONE,
      97,
      104},
-    {"no burst", 8, {200, 0}, 0.8, FAULT_NONE, 97, 110},
-    {"one node", 1, {200, 50}, 0.8, FAULT_NONE, 99, 110},
-    {"load moves to one node", 8, {200, 50}, 0.8, FAULT_LOAD_MOVES, 99, 110},
-    {"lessor killed", 8, {200, 50}, 0.8, FAULT_LESSOR_KILLED, 75, 110},
+    {"no burst", 0.8, {200, 0}, 8, FAULT_NONE, 97, 110},
+    {"one node", 0.8, {200, 50}, 1, FAULT_NONE, 99, 110},
+    {"load moves to one node", 0.8, {200, 50}, 8, FAULT_LOAD_MOVES, 99, 110},
+    {"lessor killed", 0.8, {200, 50}, 8, FAULT_LESSOR_KILLED, 75, 110},
     {"two lessors killed",
-     8,
-     {200, 50},
      0.8,
+     {200, 50},
+     8,
      FAULT_LESSOR_KILLED_TWICE,
      60,
      110},
-    {"lessor restarted", 8, {200, 50}, 0.8, FAULT_LESSOR_RESTARTED, 75, 110},
-    {"lessor frozen for 6 s", 8, {200, 50}, 6.0, FAULT_LESSOR_FROZEN, 50, 104},
+    {"lessor restarted", 0.8, {200, 50}, 8, FAULT_LESSOR_RESTARTED, 75, 110},
+    {"lessor frozen for 6 s", 6.0, {200, 50}, 8, FAULT_LESSOR_FROZEN, 50, 104},
     {"lessor frozen for 0.9 s",
-     8,
-     {200, 50},
      0.8,
+     {200, 50},
+     8,
      FAULT_LESSOR_FROZEN_SHORTLY,
      90,
      110},
-    {"halves", 8, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
-    {"halves of a small cluster", 4, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
-    {"halves of two nodes", 2, {200, 50}, 6.0, FAULT_HALVES, 30, 104},
-    {"one of three cut off", 3, {200, 50}, 6.0, FAULT_ONE_CUT_OFF, 30, 104},
+    {"halves", 6.0, {200, 50}, 8, FAULT_HALVES, 30, 104},
+    {"halves of a small cluster", 6.0, {200, 50}, 4, FAULT_HALVES, 30, 104},
+    {"halves of two nodes", 6.0, {200, 50}, 2, FAULT_HALVES, 30, 104},
+    {"one of three cut off", 6.0, {200, 50}, 3, FAULT_ONE_CUT_OFF, 30, 104},
     {"limit lowered in halves",
-     8,
-     {200, 50},
      6.0,
+     {200, 50},
+     8,
      FAULT_LOWERED_IN_HALVES,
      20,
      104},
-    {"all restarted", 8, {200, 50}, 6.0, FAULT_ALL_RESTARTED, 60, 104},
+    {"all restarted", 6.0, {200, 50}, 8, FAULT_ALL_RESTARTED, 60, 104},
 };
 
 static void
@@ -377,10 +377,10 @@
 
 typedef struct {
     member_step_t steps[4];
-    /* Time of a tick before the result is read; 0 for none. */
-    int64_t last_tick_us;
-    bool is_cut_off;
+    /* Time until which the node is cut off, if it is. */
+    int64_t cut_off_until_us;
     int64_t read_us;
+    bool is_cut_off;
     bool is_settled;
 } member_case_t;
 
@@ -389,8 +389,10 @@
     {.read_us = 1999 * MS, .is_settled = false},
     {.read_us = 2000 * MS, .is_settled = true},
     /* Cut off, and for the same time afterwards. */
-    {.last_tick_us = 3 * SECOND_US, .is_cut_off = true, .read_us = 4999 * MS},
-    {.last_tick_us = 3 * SECOND_US,
+    {.cut_off_until_us = 3 * SECOND_US,
+     .is_cut_off = true,
+     .read_us = 4999 * MS},
+    {.cut_off_until_us = 3 * SECOND_US,
      .is_cut_off = true,
      .read_us = 5000 * MS,
      .is_settled = true},
@@ -430,7 +432,8 @@
             bv_quota_members_update(members, now_us, &record);
         }
         bv_quota_members_tick(members, now_us,
-                              row->is_cut_off && now_us <= row->last_tick_us);
+                              row->is_cut_off &&
+                                  now_us <= row->cut_off_until_us);
     }
 }
 
