--- a/node/quotas.c
+++ b/node/quotas.c
@@ -283,20 +283,27 @@
     return state->waits_for_permit;
 }
 
+static void
+leave(const bv_node_t *node, bv_call_state_t *state)
+{
+    if (state->waits_for_permit) {
+        state->waits_for_permit = false;
+        bv_quota_holder_leave(node->quotas->holder, state->account->name,
+                              state->tag);
+    }
+}
+
 void
 bv_quotas_end_wait(bv_node_t *node, bv_call_state_t *state, bv_reason_t reason)
 {
+    leave(node, state);
     answer(node, state, STATUS_UNAVAILABLE, reason);
 }
 
 void
 bv_quotas_settle(bv_node_t *node, bv_call_state_t *state, bv_outcome_t outcome)
 {
-    if (state->waits_for_permit) {
-        state->waits_for_permit = false;
-        bv_quota_holder_leave(node->quotas->holder, state->account->name,
-                              state->tag);
-    }
+    leave(node, state);
     if (outcome == BV_OUTCOME_NOT_RUN && state->permit.expires_us > 0) {
         bv_quota_permit_t permit = state->permit;
         state->permit.expires_us = 0;
