Quota: the floor admits its share in any window

The floor was a bucket whose capacity and refill together were one share. With a share of exactly one request it was never refilled, and any node admitted half of its share only after some seconds: a table of a silent lessor found it (0 calls admitted, 1 allowed).

The times of the calls that the floor admitted in the last window are now kept, and their number is at most the share.

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -73,8 +73,9 @@
     int64_t last_refused_us;
     int64_t refused_until_us;
     int64_t refused_retry_us;
-    double floor_permits;
-    int64_t floor_filled_us;
+    /* Of int64_t: times of the calls admitted from the floor in the last
+     * window. */
+    GQueue floor_uses;
     /* Admitted in this period, and average per second. */
     uint32_t used;
     double use_per_s;
@@ -106,6 +107,7 @@
     account_t *account = data;
     g_queue_clear_full(&account->waiters, g_free);
     g_queue_clear_full(&account->asks, g_free);
+    g_queue_clear_full(&account->floor_uses, g_free);
     g_array_unref(account->lots);
     g_free(account->name);
     g_free(account);
@@ -144,15 +146,14 @@
 }
 
 void
-bv_quota_holder_set_limit(bv_quota_holder_t *holder, int64_t now_us,
-                          const char *name, const bv_quota_limit_t *limit)
+bv_quota_holder_set_limit(bv_quota_holder_t *holder, const char *name,
+                          const bv_quota_limit_t *limit)
 {
     account_t *account = g_hash_table_lookup(holder->accounts, name);
     if (account == NULL) {
         account = g_new0(account_t, 1);
         account->name = g_strdup(name);
         account->lots = g_array_new(FALSE, FALSE, sizeof(lot_t));
-        account->floor_filled_us = now_us;
         g_hash_table_insert(holder->accounts, account->name, account);
     }
     if (limit->rate_per_s < account->limit.rate_per_s ||
@@ -288,29 +289,22 @@
 }
 
 /*
- * The floor is a bucket whose capacity and refill in a window are together one
- * share. A share of less than one request admits nothing, because all nodes
- * would round it up.
+ * Admits at most one share in any window. A share of less than one request
+ * admits nothing, because all nodes would round it up.
  */
 static bool
 take_from_floor(const bv_quota_holder_t *holder, account_t *account,
                 int64_t now_us)
 {
-    double share = floor_share(holder, account);
-    if (share < 1) {
-        return false;
+    GQueue *uses = &account->floor_uses;
+    while (uses->length > 0 &&
+           now_us - *(int64_t *)uses->head->data >= holder->bounds.window_us) {
+        g_free(g_queue_pop_head(uses));
     }
-    double capacity = MAX(1, share / 2);
-    double gained = (share - capacity) *
-                    (double)(now_us - account->floor_filled_us) /
-                    (double)holder->bounds.window_us;
-    account->floor_permits =
-        MIN(account->floor_permits + MAX(gained, 0), capacity);
-    account->floor_filled_us = now_us;
-    if (account->floor_permits < 1) {
+    if (uses->length + 1 > floor_share(holder, account)) {
         return false;
     }
-    account->floor_permits--;
+    g_queue_push_tail(uses, g_memdup2(&now_us, sizeof(now_us)));
     return true;
 }
 
--- a/include/berylvane/core/quota_holder.h
+++ b/include/berylvane/core/quota_holder.h
@@ -91,8 +91,7 @@
                                uint32_t members);
 
 /* Sets the limit of an account; its rate is not 0. */
-void bv_quota_holder_set_limit(bv_quota_holder_t *holder, int64_t now_us,
-                               const char *account,
+void bv_quota_holder_set_limit(bv_quota_holder_t *holder, const char *account,
                                const bv_quota_limit_t *limit);
 
 /*
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -369,8 +369,7 @@
     bv_quota_lessor_set_limit(node->quotas->lessor, now_us, account->name,
                               &limit);
     if (limit.rate_per_s > 0) {
-        bv_quota_holder_set_limit(node->quotas->holder, now_us, account->name,
-                                  &limit);
+        bv_quota_holder_set_limit(node->quotas->holder, account->name, &limit);
     }
 }
 
--- a/tests/quota_cluster.c
+++ b/tests/quota_cluster.c
@@ -248,8 +248,7 @@
     if (node->is_up) {
         bv_quota_lessor_set_limit(node->lessor, now_of(cluster), QUOTA_ACCOUNT,
                                   limit);
-        bv_quota_holder_set_limit(node->holder, now_of(cluster), QUOTA_ACCOUNT,
-                                  limit);
+        bv_quota_holder_set_limit(node->holder, QUOTA_ACCOUNT, limit);
     }
 }
 
