Quota: a window limit and a larger bucket in place of the burst alone

Callers of an account that had been idle, or came in groups, were refused below the quota that the bounds state for a window: a bucket of the burst lends burst + rate x time, the bound allows rate x window + burst at any time in it.

A bucket now holds the burst, what arrives in half a second, and a quarter of the allowed overage, and no more than the quota and that quarter is lent in any window. Half of the overage stays for the floors, a quarter for permits lent before a window and used in it. Nobody lends for 0.6 s after a member has left or started again, so that two lessors together stay within the quota.

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -279,12 +279,7 @@
     if (holder->floor_members == 0) {
         return 0;
     }
-    const bv_quota_bounds_t *bounds = &holder->bounds;
-    double quota =
-        account->limit.rate_per_s * (double)bounds->window_us / US_PER_S +
-        account->limit.burst;
-    double allowed = bounds->overage * quota + bounds->slack;
-    return FLOOR_SHARE * allowed /
+    return FLOOR_SHARE * bv_quota_overage(&account->limit, &holder->bounds) /
            MAX(holder->floor_members, FLOOR_MEMBERS_MIN);
 }
 
--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -1,8 +1,22 @@
 #include "berylvane/core/quota_lessor.h"
 
+#include "berylvane/core/quota_window.h"
+
 #include <string.h>
 
 #define US_PER_S 1000000.0
+/*
+ * Part of the allowed overage that a bucket may hold beyond the burst. Half of
+ * the overage is for the floors of all nodes (see quota_holder), the rest for
+ * permits that are lent before a window and used in it.
+ */
+#define OVERAGE_SHARE 0.25
+/*
+ * A bucket holds what arrives in this time beyond the burst. It is less than
+ * the time for which nobody lends between two lessors, so that both together
+ * stay within the window's quota.
+ */
+#define EXTRA_TIME_S 0.5
 /* Part of a second whose arrivals a bucket holds at least. */
 #define LEAST_CAPACITY_DIVISOR 20
 
@@ -14,6 +28,7 @@
     bool is_in_use;
     double permits;
     int64_t filled_us;
+    bv_quota_window_t lent;
     /* Refused requests that the rate has not made up for since. */
     double backlog;
     uint64_t granted;
@@ -21,6 +36,8 @@
 } account_t;
 
 struct bv_quota_lessor {
+    /* No window if `window_us` is 0. */
+    bv_quota_bounds_t bounds;
     /* account_t by name. */
     GHashTable *accounts;
 };
@@ -52,15 +69,60 @@
     g_free(lessor);
 }
 
+double
+bv_quota_in_window(const bv_quota_limit_t *limit,
+                   const bv_quota_bounds_t *bounds)
+{
+    return limit->rate_per_s * (double)bounds->window_us / US_PER_S +
+           limit->burst;
+}
+
+double
+bv_quota_overage(const bv_quota_limit_t *limit,
+                 const bv_quota_bounds_t *bounds)
+{
+    return bounds->overage * bv_quota_in_window(limit, bounds) + bounds->slack;
+}
+
+void
+bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor,
+                           const bv_quota_bounds_t *bounds)
+{
+    lessor->bounds = *bounds;
+}
+
 static double
-capacity_of(const bv_quota_limit_t *limit)
+overage_share(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
+{
+    return OVERAGE_SHARE * bv_quota_overage(limit, &lessor->bounds);
+}
+
+static double
+capacity_of(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
 {
     double least = MAX(1, (double)limit->rate_per_s / LEAST_CAPACITY_DIVISOR);
-    return MAX(limit->burst, least);
+    if (lessor->bounds.window_us == 0) {
+        return MAX(limit->burst, least);
+    }
+    return limit->burst + MAX(least, limit->rate_per_s * EXTRA_TIME_S) +
+           overage_share(lessor, limit);
+}
+
+/* Returns how many permits may still be lent in this window. */
+static double
+window_room(const bv_quota_lessor_t *lessor, account_t *account,
+            int64_t now_us)
+{
+    if (lessor->bounds.window_us == 0) {
+        return G_MAXUINT32;
+    }
+    return bv_quota_in_window(&account->limit, &lessor->bounds) +
+           overage_share(lessor, &account->limit) -
+           (double)bv_quota_window_count(&account->lent, now_us);
 }
 
 static void
-fill(account_t *account, int64_t now_us)
+fill(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us)
 {
     if (now_us <= account->filled_us) {
         return;
@@ -68,7 +130,7 @@
     double gained = (double)(now_us - account->filled_us) *
                     account->limit.rate_per_s / US_PER_S;
     account->permits =
-        MIN(account->permits + gained, capacity_of(&account->limit));
+        MIN(account->permits + gained, capacity_of(lessor, &account->limit));
     account->backlog = MAX(account->backlog - gained, 0);
     account->filled_us = now_us;
 }
@@ -90,13 +152,13 @@
         return;
     }
     if (account->is_in_use) {
-        fill(account, now_us);
+        fill(lessor, account, now_us);
     }
     else {
         account->known_us = now_us;
     }
     account->limit = *limit;
-    account->permits = MIN(account->permits, capacity_of(limit));
+    account->permits = MIN(account->permits, capacity_of(lessor, limit));
 }
 
 void
@@ -131,8 +193,10 @@
 }
 
 static void
-take_into_use(account_t *account, int64_t since_us)
+take_into_use(const bv_quota_lessor_t *lessor, account_t *account,
+              int64_t since_us)
 {
+    bv_quota_window_init(&account->lent, lessor->bounds.window_us);
     account->is_in_use = true;
     account->permits = 0;
     account->backlog = 0;
@@ -140,23 +204,34 @@
 }
 
 static uint32_t
-take(account_t *account, const bv_quota_request_t *request)
+take(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us,
+     const bv_quota_request_t *request)
 {
-    double surplus = account->permits - capacity_of(&account->limit) / 2;
+    double surplus =
+        account->permits - capacity_of(lessor, &account->limit) / 2;
     double lendable = MIN(account->permits, request->needed);
     lendable = MAX(lendable, MIN(surplus, request->wanted));
+    lendable = MIN(lendable, window_room(lessor, account, now_us));
     uint32_t granted = (uint32_t)MAX(lendable, 0);
     account->permits -= granted;
+    if (granted > 0) {
+        bv_quota_window_add(&account->lent, now_us, granted);
+    }
     return granted;
 }
 
 static void
-refuse(account_t *account, uint32_t count, bv_quota_reply_t *reply)
+refuse(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us,
+       uint32_t count, bv_quota_reply_t *reply)
 {
     double rate = account->limit.rate_per_s;
     account->refused += count;
     account->backlog += count;
     double wait_us = MAX(1 - account->permits, 0) / rate * US_PER_S;
+    if (window_room(lessor, account, now_us) < 1) {
+        wait_us = MAX(wait_us,
+                      (double)bv_quota_window_wait_us(&account->lent, now_us));
+    }
     double retry_us = wait_us + account->backlog / rate * US_PER_S;
     reply->wait_us = (int64_t)MIN(wait_us, BV_QUOTA_WAIT_LIMIT_US);
     reply->retry_us = (int64_t)MIN(retry_us, BV_QUOTA_WAIT_LIMIT_US);
@@ -181,13 +256,14 @@
         return reply;
     }
     if (!account->is_in_use) {
-        take_into_use(account, since_us);
+        take_into_use(lessor, account, since_us);
     }
-    fill(account, now_us);
-    reply.granted = take(account, request);
+    fill(lessor, account, now_us);
+    reply.granted = take(lessor, account, now_us, request);
     account->granted += reply.granted;
     if (reply.granted < request->needed) {
-        refuse(account, request->needed - reply.granted, &reply);
+        refuse(lessor, account, now_us, request->needed - reply.granted,
+               &reply);
     }
     return reply;
 }
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -94,12 +94,15 @@
     g_free(members);
 }
 
-/* Removes a candidate from the choice; other members may take its place. */
+/*
+ * Removes a candidate from the choice; other members may take its place, and
+ * fill their buckets from `since_us` on.
+ */
 static void
-unsettle(bv_quota_members_t *members, int64_t now_us, candidate_t *candidate)
+unsettle(bv_quota_members_t *members, int64_t since_us, candidate_t *candidate)
 {
     if (candidate->is_settled) {
-        members->since_us = MAX(members->since_us, now_us);
+        members->since_us = MAX(members->since_us, since_us);
         members->has_changed = true;
     }
     candidate->is_settled = false;
@@ -151,7 +154,7 @@
     if (!is_new) {
         return;
     }
-    unsettle(members, now_us, candidate);
+    unsettle(members, now_us + members->options.handover_us, candidate);
     candidate->is_present = true;
     candidate->incarnation = record->incarnation;
     /*
@@ -175,10 +178,13 @@
         return;
     }
     candidate_t *candidate = find_or_add(members, record->name);
-    unsettle(members, now_us, candidate);
+    /* A dead member has lent nothing since it was suspected. */
+    bool has_left = record->state == BV_MEMBER_LEFT;
+    unsettle(members, now_us + (has_left ? members->options.handover_us : 0),
+             candidate);
     candidate->is_present = false;
     candidate->settled_us = now_us + FORGET_AFTER_US;
-    if (record->state == BV_MEMBER_LEFT) {
+    if (has_left) {
         remove_candidate(members, record->name);
     }
 }
--- a/include/berylvane/core/quota.h
+++ b/include/berylvane/core/quota.h
@@ -36,6 +36,14 @@
     double slack;
 } bv_quota_bounds_t;
 
+/* Requests that an account may run in a window: rate x window + burst. */
+double bv_quota_in_window(const bv_quota_limit_t *limit,
+                          const bv_quota_bounds_t *bounds);
+
+/* Requests beyond that which the bounds allow in a window. */
+double bv_quota_overage(const bv_quota_limit_t *limit,
+                        const bv_quota_bounds_t *bounds);
+
 /* What a holder asks for one account. */
 typedef struct {
     const char *account;
--- a/include/berylvane/core/quota_lessor.h
+++ b/include/berylvane/core/quota_lessor.h
@@ -7,9 +7,12 @@
  * quota_lessor - token buckets from which a node lends permits
  *
  * Handles an account that sends more than its limit through any number of
- * nodes. A bucket starts empty, so that the permits that successive lessors
- * lend stay within rate x time + burst. The capacity is the burst, but at
- * least what arrives in 50 ms, since calls arrive at nodes in groups.
+ * nodes. Two limits hold. In any window, no more is lent than the quota and a
+ * part of the allowed overage. A token bucket spreads this over the window;
+ * it starts empty, so that the permits of successive lessors stay within the
+ * quota as well. Its capacity is the burst, what arrives in half a second, and
+ * a part of the allowed overage: callers that come in groups, and accounts
+ * that use little, are not refused below their quota.
  */
 typedef struct {
     const char *account;
@@ -24,6 +27,13 @@
 bv_quota_lessor_t *bv_quota_lessor_create(void);
 void bv_quota_lessor_destroy(bv_quota_lessor_t *lessor);
 
+/*
+ * Sets the bounds of all quotas. Without, or with a window of 0, there is no
+ * limit by window, and the capacity of a bucket is the burst.
+ */
+void bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor,
+                                const bv_quota_bounds_t *bounds);
+
 /* Sets the limit of an account. A new account's bucket is empty. */
 void bv_quota_lessor_set_limit(bv_quota_lessor_t *lessor, int64_t now_us,
                                const char *account,
--- a/include/berylvane/core/quota_members.h
+++ b/include/berylvane/core/quota_members.h
@@ -20,6 +20,11 @@
     uint64_t incarnation;
     int64_t settle_us;
     int64_t own_settle_us;
+    /*
+     * Time for which nobody lends after a member that may have lent until now
+     * has left or started again.
+     */
+    int64_t handover_us;
     /*
      * Time between two ticks from which the process counts as suspended; must
      * be less than the time in which other members evict this one.
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -14,7 +14,13 @@
 #define STATUS_UNAVAILABLE 503
 /* Longer than an update takes to reach all members. */
 #define SETTLE_US BV_US_PER_S
-#define OWN_SETTLE_US (2 * BV_US_PER_S)
+/*
+ * SETTLE_US, the time until all members see this one, and the time for which
+ * nobody lends between two lessors.
+ */
+#define OWN_SETTLE_US (2300 * BV_US_PER_MS)
+/* More than the time whose arrivals a bucket holds beyond the burst. */
+#define HANDOVER_US (600 * BV_US_PER_MS)
 /* Less than the shortest time from a suspicion to an eviction. */
 #define SUSPENSION_US BV_US_PER_S
 /* The stated delay is spread up to this part above the least. */
@@ -200,6 +206,7 @@
         .incarnation = node->incarnation,
         .settle_us = SETTLE_US,
         .own_settle_us = OWN_SETTLE_US,
+        .handover_us = HANDOVER_US,
         .suspension_us = SUSPENSION_US,
     };
     bv_quota_holder_options_t holder = {.ops = &holder_ops, .context = node};
@@ -415,6 +422,7 @@
         .overage = (double)settings->quota_overage_percent / PERCENT,
         .slack = (double)settings->quota_slack,
     };
+    bv_quota_lessor_set_bounds(quotas->lessor, &bounds);
     int64_t now_us = advance(node);
     bool has_started = bv_quota_members_has_started(quotas->members, now_us);
     uint32_t members = bv_quota_members_most_seen(quotas->members);
