HTTP client: paths are sent as they are

Callers saw a request for /a/../b answered as one for /b. libcurl removes the segments "." and ".." from a URL's path unless CURLOPT_PATH_AS_IS is set, so that the store, the collector and the control tool got another path than the one asked for, and targets one that may be outside of the route that was checked.

The option is set. test_http_client reads the request line that arrives for nine paths.

Measured: test_http_client passes under the address and undefined-behaviour sanitizers.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -158,6 +158,8 @@
     transfer->header_lines =
         curl_slist_append(transfer->header_lines, "Expect:");
     curl_easy_setopt(easy, CURLOPT_URL, request->url);
+    /* Else libcurl removes the segments "." and ".." from the path. */
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_lines);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/common/latch.h"
 #include "berylvane/common/program.h"
+#include "raw_server.h"
 #include "support.h"
 
 #include <arpa/inet.h>
@@ -182,10 +183,53 @@
 }
 END_TEST
 
+/*
+ * Guards against a request for another resource than the one named: libcurl by
+ * itself removes dot segments.
+ */
+static const char *const paths[] = {"/a/../b", "/../b",     "/a/./b",
+                                    "/a/.",    "/a/..",     "/./",
+                                    "/a//b/.", "/..?x=/..", "/a/%2e%2e/b"};
+
+START_TEST(test_path_arrives_unchanged)
+{
+    const char *path = paths[_i];
+    const raw_reply_t reply = {
+        .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    raw_server_options_t server_options = {&reply, 1};
+    raw_server_t *server = raw_server_start(&server_options);
+    apr_pool_t *pool = bv_program_start();
+    pending_request_t pending = {.latch = bv_latch_create(pool)};
+    bv_http_client_options_t options = {.ring_capacity = 4,
+                                        .kept_connections = 1};
+    bv_http_client_t *client = bv_http_client_start(pool, &options);
+    char *url = g_strdup_printf("http://127.0.0.1:%u%s",
+                                raw_server_port(server), path);
+    bv_http_request_t *request = bv_http_request_create("GET", url);
+    request->timeout_us = REQUEST_TIMEOUT_US;
+    request->on_answer = on_answer;
+    request->context = &pending;
+    ck_assert(bv_http_client_send(client, request));
+    bv_latch_wait(pending.latch);
+    char *expected = g_strdup_printf("GET %s HTTP/1.1", path);
+    char *first_line = raw_server_wait_for_request(server);
+    ck_assert_str_eq(first_line, expected);
+    ck_assert_int_eq(pending.result, BV_HTTP_ANSWERED);
+    bv_http_client_stop(client);
+    raw_server_stop(server);
+    g_free(first_line);
+    g_free(expected);
+    g_free(url);
+    bv_program_stop(pool);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
+        {"path_arrives_unchanged", test_path_arrives_unchanged,
+         G_N_ELEMENTS(paths)},
         {"results_of_answers", test_results_of_answers,
          G_N_ELEMENTS(answer_cases)},
         {"cut_answers", test_cut_answers, G_N_ELEMENTS(whole_answers)},
