Node: a request lost with its connection is sent again, once and charged

Callers of a target that closes idle connections would see more requests end as "unknown", or wait for the way back to their own node and a retry from there, now that the client of the target repeats nothing by itself.

The node beside the target sends an idempotent request again whose kept-alive connection closed before the first byte of the response: once, on a new connection, after it has charged the service's retry budget and one of the request's credits. core/local_retry.c decides, without input or output. Routes in observe and bypass mode, a target that drains, and a passed deadline are left to the caller's node, as is every refusal of the budget or the credits.

First attempts earn budget at the caller's node only, so that here the reserve pays (retry.reserve, retry.shared_reserve).

New counter local_retries; reason_connection_lost counts all lost requests.

Measured, address and undefined-behaviour sanitizers: test_local_retry passes (13 cases and a burst of 200 lost requests, of which a reserve of 5 pays for 5). All 53 unit tests pass; of the end-to-end tests and the soak 18 of 19 pass. e2e_platform failed in that run, beside other runs of the same test on the machine ("node 0 answered /a/1 with 503, not 200" for 60 s), and passed in the five other runs of this code; not traced.

--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -21,6 +21,7 @@
     X(ANSWERS_UNKNOWN, "answers_unknown", "answers given as unknown")         \
     X(DISPATCHES, "dispatches", "attempts handed to a peer link")             \
     X(RETRIES, "retries", "attempts after the first, paid with credit")       \
+    X(LOCAL_RETRIES, "local_retries", "retries beside the target")            \
     X(REROUTES, "reroutes", "attempts moved off a draining node")             \
     X(HEDGES, "hedges", "second attempts of a slow idempotent read")          \
     X(FENCES, "fences", "fence requests sent")                                \
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -69,6 +69,8 @@
     bool started;
     /* The work holds an admission slot. */
     bool admitted;
+    /* The work was sent to the target again. */
+    bool is_local_retry;
     /* Hash of the route's name; 0 when the route is not known here. */
     uint32_t route_hash;
     bv_mode_t mode;
--- a/node/serve.c
+++ b/node/serve.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/invariant.h"
+#include "berylvane/core/local_retry.h"
 #include "berylvane/node/call.h"
 
 #include <string.h>
@@ -159,6 +160,7 @@
         .request_id = dispatch->request_id,
         .body = dispatch->body,
         .is_idempotent = dispatch->is_idempotent,
+        .needs_new_connection = served->is_local_retry,
         .timeout_us = served->deadline_us - node->now_us,
     };
     bv_target_client_send(node->target_client, &work);
@@ -401,12 +403,76 @@
                         &work_result);
 }
 
+static void
+record_local_retry(bv_node_t *node, const bv_served_t *served,
+                   bv_local_retry_verdict_t verdict)
+{
+    bv_reason_t reason = verdict == BV_LOCAL_RETRY_NO_BUDGET
+                             ? BV_REASON_NO_BUDGET
+                             : BV_REASON_NO_CREDIT;
+    bool is_sent = verdict == BV_LOCAL_RETRY_SEND;
+    bv_decision_t decision = {
+        .kind = is_sent ? BV_DECISION_RETRIED : BV_DECISION_NOT_RETRIED,
+        .request = served->dispatch->request_id,
+        .subject = node->target.last_announcement.instance,
+        .reason = is_sent ? BV_REASON_CONNECTION_LOST : reason,
+        .label = served->dispatch->label,
+        .left_us = served->deadline_us - node->now_us,
+        .took_us = node->now_us - served->arrived_us,
+    };
+    bv_node_record_decision(node, &decision);
+    if (is_sent) {
+        bv_counter_add(BV_COUNT_RETRIES, 1);
+        bv_counter_add(BV_COUNT_LOCAL_RETRIES, 1);
+    }
+    else {
+        bv_node_count_reason(reason);
+    }
+}
+
+/* Sends work again whose kept-alive connection was lost, if it may be. */
+static bool
+retry_locally(bv_node_t *node, bv_served_t *served,
+              const bv_target_result_t *result)
+{
+    const bv_peer_message_t *dispatch = served->dispatch;
+    bv_local_retry_t retry = {
+        .now_us = node->now_us,
+        .deadline_us = served->deadline_us,
+        .service = node->target.last_announcement.service,
+        .request_id = dispatch->request_id,
+        .priority = dispatch->priority,
+        .outcome = result->outcome,
+        .reason = result->reason,
+        .is_idempotent = dispatch->is_idempotent,
+        .is_retry = served->is_local_retry,
+        /* The client of the target is stopped after a drain. */
+        .is_target_usable =
+            bv_target_is_usable(node) && node->drain.phase != BV_DRAIN_DONE,
+        .is_permitted = served->mode == BV_MODE_ENFORCE,
+    };
+    bv_local_retry_verdict_t verdict =
+        bv_local_retry_try_charge(&retry, node->retry_budgets, node->credits);
+    if (result->reason == BV_REASON_CONNECTION_LOST) {
+        bv_node_count_reason(result->reason);
+    }
+    if (verdict != BV_LOCAL_RETRY_NONE) {
+        record_local_retry(node, served, verdict);
+    }
+    if (verdict != BV_LOCAL_RETRY_SEND) {
+        return false;
+    }
+    served->is_local_retry = true;
+    send_to_target(node, served);
+    return true;
+}
+
 void
 bv_serve_handle_result(bv_node_t *node, void *data)
 {
     bv_target_result_t *result = data;
     bv_served_t *served = find_served(node, result->id);
-    if (served == NULL) {
+    if (served == NULL || retry_locally(node, served, result)) {
         bv_target_result_destroy(result);
         return;
     }
--- a/targets/client.c
+++ b/targets/client.c
@@ -141,8 +141,7 @@
     const bv_target_connection_t *connection = request->connection;
     if (bv_log_budget_try_consume(&client->log_budget, now_us,
                                   BV_LOG_CLASS_FAILURE)) {
-        bv_log(BV_LOG_WARN, "target_answer_broken", "address",
-               connection->endpoint.address, "port",
+        bv_log(BV_LOG_WARN, "target_answer_broken", "port",
                BV_NUM(connection->endpoint.port), "error",
                connection->response.error, NULL);
     }
