Tests: a target that drops a kept connection, through two nodes

Guards against a request that is lost with its connection and not sent again by the node beside the target, or sent again uncounted, as libcurl did: the target of e2e_platform closes the connection of one call, the call must be answered with 200, and local_retries must rise by one.

--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -82,6 +82,11 @@
 answer_call(void *context, bv_call_t *call)
 {
     platform_node_t *node = context;
+    if (g_atomic_int_compare_and_exchange(
+            &node->mode, PLATFORM_TARGET_DROP_ONCE, PLATFORM_TARGET_SERVE)) {
+        bv_call_drop(call);
+        return true;
+    }
     char *id = bv_headers_get(call->headers, "Request-Id");
     char *caller = bv_headers_get(call->headers, "Caller-Service");
     g_free(node->caller);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -35,6 +35,8 @@
     PLATFORM_TARGET_REFUSE,
     PLATFORM_TARGET_REFUSE_WITHOUT_ID,
     PLATFORM_TARGET_WRONG_ID,
+    /* Closes the connection of one call without an answer, then serves. */
+    PLATFORM_TARGET_DROP_ONCE,
 };
 
 typedef struct {
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -78,6 +78,20 @@
     return is_same;
 }
 
+/* Whether /metrics of a node shows a counter with a value. */
+static bool
+has_count(size_t node_index, const char *line)
+{
+    bv_http_reply_t reply = platform_request(
+        fixture.nodes[node_index].ports[PLATFORM_PORT_OPERATORS], "GET",
+        "/metrics", NULL, NULL);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    bool is_shown = g_strstr_len(text, (gssize)size, line) != NULL;
+    bv_http_reply_clear(&reply);
+    return is_shown;
+}
+
 static void
 wait_for_freshness(const char *freshness)
 {
@@ -142,6 +156,14 @@
     ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", "") / 100, 5);
     g_atomic_int_set(&back->mode, PLATFORM_TARGET_SERVE);
     platform_wait_for_status(&fixture, 0, "/a/1", 200);
+    /*
+     * A request whose kept connection the target closes must be sent again by
+     * the node beside it, which counts that.
+     */
+    ck_assert(has_count(1, "berylvane_local_retries_total 0\n"));
+    g_atomic_int_set(&back->mode, PLATFORM_TARGET_DROP_ONCE);
+    ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", ""), 200);
+    ck_assert(has_count(1, "berylvane_local_retries_total 1\n"));
     /* An invalid heartbeat must be refused and leave the target announced. */
     ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "asleep"), 400);
     ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", ""), 200);
