--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -38,6 +38,7 @@
     X(ANSWER_FOREIGN, "answer_foreign")                                       \
     X(UNAUTHORIZED, "unauthorized")                                           \
     X(CONFIG_BEHIND, "config_behind")                                         \
-    X(QUOTA, "quota")
+    X(QUOTA, "quota")                                                         \
+    X(CONNECTION_LOST, "connection_lost")
 
 #endif
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -123,6 +123,11 @@
 answer_call(void *context, bv_call_t *call)
 {
     platform_node_t *node = context;
+    if (g_atomic_int_compare_and_exchange(
+            &node->mode, PLATFORM_TARGET_DROP_ONCE, PLATFORM_TARGET_SERVE)) {
+        bv_call_drop(call);
+        return true;
+    }
     gint mode = g_atomic_int_get(&node->mode);
     if (mode == PLATFORM_TARGET_HOLD) {
         g_atomic_pointer_set(&node->held, call);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -37,6 +37,8 @@
     PLATFORM_TARGET_WRONG_ID,
     /* Keeps one call until platform_answer_held(). */
     PLATFORM_TARGET_HOLD,
+    /* Closes the connection of one call without an answer, then serves. */
+    PLATFORM_TARGET_DROP_ONCE,
 };
 
 typedef struct {
