Refuse work that waits for a target which drains

Callers saw 504, or no answer, for requests that a node started at its target after the target had announced that it drains: the target exited while they ran. The publish of the target's capacity told the other nodes only; admission at the node beside the target went on to start what was queued.

Admission now has the option is_draining, set from the target's announcements: queued work is refused as not run with reason "draining" and the callers' nodes send it to other targets; running work keeps its slot and is answered. The queue is processed as soon as an announcement changes the target's state, in both directions.

A refusal with this reason made the receiving node mark its sender as draining, which lasts until the sender restarts. A refusal for the target's drain therefore carries the served state "queued", and does not mark the node.

--- a/core/admission.c
+++ b/core/admission.c
@@ -426,11 +426,35 @@
     return BV_WORK_RUN;
 }
 
+/*
+ * The waits of work that a drain refuses are not recorded: they do not show
+ * that the target is overloaded.
+ */
+static bool
+refuse_for_drain(bv_admission_t *admission, uint64_t *id)
+{
+    for (int i = 0; i < BV_LANE_END; i++) {
+        bv_queue_t *queue = admission->lane[i].queue;
+        const bv_queued_work_t *first = bv_queue_first_to_run(queue);
+        if (first != NULL) {
+            bv_queued_work_t refused;
+            *id = first->work.id;
+            return bv_queue_remove(queue, *id, &refused);
+        }
+    }
+    return false;
+}
+
 bv_work_verdict_t
 bv_admission_next(bv_admission_t *admission, int64_t now_us, uint64_t *id,
                   bv_reason_t *reason)
 {
     lane_t *lane;
+    if (admission->options.is_draining) {
+        *reason = BV_REASON_DRAINING;
+        return refuse_for_drain(admission, id) ? BV_WORK_REFUSED
+                                               : BV_WORK_QUEUED;
+    }
     update_thresholds(admission, now_us);
     if (find_expired(admission, now_us, &lane, id)) {
         *reason = BV_REASON_EXPIRED;
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -27,6 +27,7 @@
     X(SESSION_STALE, "session_stale", "dispatches refused as stale")          \
     X(SHED, "shed", "work refused by admission")                              \
     X(SHED_CRITICAL, "shed_critical", "critical work refused by admission")   \
+    X(TARGET_DRAINED, "target_drained", "queued work its target left")        \
     X(SHED_EARLY, "shed_early", "calls refused for the services below")       \
     X(OBSERVED_SHED, "observed_shed", "observed work not refused or queued")  \
     X(OBSERVED_RETRIES, "observed_retries", "observed retries not made")      \
--- a/include/berylvane/core/admission.h
+++ b/include/berylvane/core/admission.h
@@ -10,7 +10,8 @@
  * critical work is refused only once nothing else is admitted. Work that can
  * no longer finish before its deadline is dropped. Short and long work wait in
  * separate lanes, and the limit on concurrent work adapts to the measured
- * latency.
+ * latency. Work that waits while the target drains is refused, so that it can
+ * run elsewhere before the target exits.
  */
 typedef struct bv_admission bv_admission_t;
 
@@ -23,6 +24,8 @@
  * - queue_target_us: queueing delay above which work is refused by priority
  * - long_share_percent: share of the limit that long work may always use
  * - has_fixed_limit: the limit is `slots`, instead of adapting to the latency
+ * - is_draining: the target takes no more work; queued work is refused, and
+ *   running work is finished
  */
 typedef struct {
     uint32_t slots;
@@ -30,6 +33,7 @@
     int64_t queue_target_us;
     uint32_t long_share_percent;
     bool has_fixed_limit;
+    bool is_draining;
 } bv_admission_options_t;
 
 typedef enum {
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -349,7 +349,10 @@
 
 /*
  * Marks the sender of `answer` as draining. The answer refused work because of
- * a drain, and its sender is the authority on its own state.
+ * a drain of the node, and its sender is the authority on its own state. A
+ * drain of the target alone, whose answers have the served state
+ * BV_SERVED_QUEUED, does not count: the node serves again with its next
+ * target, but a member that is marked as draining never returns.
  */
 void bv_members_mark_draining(bv_node_t *node,
                               const bv_peer_message_t *answer);
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -68,7 +68,8 @@
  * - DISPATCH: session, attempt, request_id to remaining_us, digest, method,
  *   host, path, headers, idempotency_key, customer, label, traceparent, body
  * - ANSWER: attempt, credit, outcome, reason, status, threshold, wait_us,
- *   digest, headers, body
+ *   served_state (BV_SERVED_QUEUED with the reason "draining": the target
+ *   drains, not its node), digest, headers, body
  * - OPEN: session
  * - FENCE: session, attempt
  * - FENCED: attempt, served_state
--- a/node/members.c
+++ b/node/members.c
@@ -191,6 +191,8 @@
         .queue_limit = 1000,
         .queue_target_us = 10 * BV_US_PER_MS,
         .long_share_percent = 40,
+        .is_draining =
+            node->target.last_announcement.state != BV_ANNOUNCED_READY,
     };
     if (node->config != NULL) {
         options.queue_limit = node->config->queue_limit;
--- a/node/peers.c
+++ b/node/peers.c
@@ -79,7 +79,8 @@
         bv_serve_handle_dispatch(node, message);
         return;
     case BV_PEER_ANSWER:
-        if (message->reason == BV_REASON_DRAINING) {
+        if (message->reason == BV_REASON_DRAINING &&
+            message->served_state != BV_SERVED_QUEUED) {
             bv_members_mark_draining(node, message);
         }
         if (is_for_this_incarnation(node, message)) {
--- a/node/serve.c
+++ b/node/serve.c
@@ -69,9 +69,13 @@
     return answer;
 }
 
+/*
+ * Answers a dispatch as not run. `served_state` is BV_SERVED_QUEUED if the
+ * target drains and not the node, see bv_members_mark_draining().
+ */
 static void
 refuse_dispatch(bv_node_t *node, const bv_peer_message_t *dispatch,
-                bv_reason_t reason)
+                bv_reason_t reason, bv_served_state_t served_state)
 {
     bv_decision_t decision = {
         .kind = BV_DECISION_REFUSED,
@@ -87,6 +91,7 @@
     bv_peer_message_t *answer =
         create_answer(node, dispatch, BV_OUTCOME_NOT_RUN, reason);
     answer->credit = dispatch->credit;
+    answer->served_state = served_state;
     bv_node_count_reason(reason);
     bv_peers_answer(node, dispatch, answer);
 }
@@ -124,17 +129,29 @@
     g_free(served);
 }
 
-void
-bv_serve_refuse(bv_node_t *node, bv_served_t *served, bv_reason_t reason)
+static void
+count_refusal(const bv_peer_message_t *dispatch, bv_reason_t reason)
 {
-    const bv_peer_message_t *dispatch = served->dispatch;
-    bv_sessions_finish(node->sessions, node->now_us, &served->key, false);
+    if (reason == BV_REASON_DRAINING) {
+        bv_counter_add(BV_COUNT_TARGET_DRAINED, 1);
+        return;
+    }
     bv_counter_add(
         reason == BV_REASON_EXPIRED ? BV_COUNT_EXPIRED : BV_COUNT_SHED, 1);
     if (dispatch->priority >= BV_CLASS_CRITICAL * BV_PRIORITY_LEVELS) {
         bv_counter_add(BV_COUNT_SHED_CRITICAL, 1);
     }
-    refuse_dispatch(node, dispatch, reason);
+}
+
+void
+bv_serve_refuse(bv_node_t *node, bv_served_t *served, bv_reason_t reason)
+{
+    const bv_peer_message_t *dispatch = served->dispatch;
+    bv_sessions_finish(node->sessions, node->now_us, &served->key, false);
+    count_refusal(dispatch, reason);
+    refuse_dispatch(node, dispatch, reason,
+                    reason == BV_REASON_DRAINING ? BV_SERVED_QUEUED
+                                                 : BV_SERVED_UNSEEN);
     bv_serve_remove(node, served);
 }
 
@@ -375,7 +392,7 @@
         return;
     }
     if (reason != BV_REASON_NONE) {
-        refuse_dispatch(node, message, reason);
+        refuse_dispatch(node, message, reason, BV_SERVED_UNSEEN);
         bv_peer_message_destroy(message);
         return;
     }
--- a/node/target.c
+++ b/node/target.c
@@ -89,6 +89,8 @@
            BV_NUM(target->last_announcement.slots), "state",
            state_name(target->last_announcement.state), NULL);
     publish_capacity(node);
+    /* Refuses queued work if the target leaves, starts it if it is back. */
+    bv_serve_tick(node);
 }
 
 void
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -78,10 +78,9 @@
 }
 
 /* Answers a call as the target does, and stores the name of the caller. */
-static bool
-answer_call(void *context, bv_call_t *call)
+static void
+reply_to_call(platform_node_t *node, bv_call_t *call)
 {
-    platform_node_t *node = context;
     char *id = bv_headers_get(call->headers, "Request-Id");
     char *caller = bv_headers_get(call->headers, "Caller-Service");
     g_free(node->caller);
@@ -114,9 +113,31 @@
     g_free(refusal);
     g_free(headers);
     g_free(id);
+}
+
+static bool
+on_call(void *context, bv_call_t *call)
+{
+    platform_node_t *node = context;
+    g_atomic_int_inc(&node->arrived);
+    if (g_atomic_int_get(&node->mode) == PLATFORM_TARGET_HOLD) {
+        g_async_queue_push(node->held, call);
+        return true;
+    }
+    reply_to_call(node, call);
     return true;
 }
 
+void
+platform_release_calls(platform_node_t *node)
+{
+    g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
+    bv_call_t *call;
+    while ((call = g_async_queue_try_pop(node->held)) != NULL) {
+        reply_to_call(node, call);
+    }
+}
+
 uint16_t
 platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                    const char *state)
@@ -136,10 +157,9 @@
     return status;
 }
 
-/* Writes a row and returns its version. */
-static int64_t
-write_row(const platform_fixture_t *fixture, const char *table,
-          const char *key, const char *value)
+int64_t
+platform_write_row(const platform_fixture_t *fixture, const char *table,
+                   const char *key, const char *value)
 {
     char *encoded = g_base64_encode((guchar *)value, strlen(value));
     char *body = g_strdup_printf(
@@ -165,7 +185,7 @@
 {
     int64_t version = 0;
     for (size_t i = 0; i < count; i++) {
-        version = write_row(fixture, "other", "row", "x");
+        version = platform_write_row(fixture, "other", "row", "x");
     }
     return version;
 }
@@ -181,7 +201,7 @@
         "\"%s\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"Priority\":1,"
         "\"Service\":\"back\",\"MaxAttempts\":2}]}]}",
         version, prefix);
-    int64_t row_version = write_row(fixture, "op", "config", config);
+    int64_t row_version = platform_write_row(fixture, "op", "config", config);
     g_free(config);
     return row_version;
 }
@@ -227,13 +247,14 @@
     ck_assert_uint_lt(node_index, PLATFORM_NODES_MAX);
     platform_node_t *node = &fixture->nodes[node_index];
     node->service = service;
+    node->held = g_async_queue_new();
     for (int i = 0; i < PLATFORM_PORTS; i++) {
         node->ports[i] = free_port();
     }
     bv_listener_options_t target = {
         .address = "127.0.0.1",
         .port = node->ports[PLATFORM_PORT_TARGET],
-        .on_call = answer_call,
+        .on_call = on_call,
         .context = node,
     };
     node->target = bv_listener_start(&target, NULL);
@@ -313,6 +334,7 @@
     bv_listener_close(node->target);
     bv_listener_stop(node->target);
     g_free(node->caller);
+    g_async_queue_unref(node->held);
     char *path =
         g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
     remove(path);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -35,6 +35,8 @@
     PLATFORM_TARGET_REFUSE,
     PLATFORM_TARGET_REFUSE_WITHOUT_ID,
     PLATFORM_TARGET_WRONG_ID,
+    /* Calls are not answered before the mode changes. */
+    PLATFORM_TARGET_HOLD,
 };
 
 typedef struct {
@@ -48,6 +50,10 @@
     gint mode;
     /* Number of calls that the target has served. */
     gint served;
+    /* Number of calls that have reached the target. */
+    gint arrived;
+    /* Calls that the target holds, of bv_call_t. */
+    GAsyncQueue *held;
     /* Name of the service that made the last call. */
     char *caller;
 } platform_node_t;
@@ -96,6 +102,14 @@
 int64_t platform_write_config(const platform_fixture_t *fixture,
                               uint32_t version, const char *prefix);
 
+/* Writes a row and returns its version. */
+int64_t platform_write_row(const platform_fixture_t *fixture,
+                           const char *table, const char *key,
+                           const char *value);
+
+/* Answers the calls that a target holds, and all later ones at once. */
+void platform_release_calls(platform_node_t *node);
+
 /* Writes `count` times to a row that no node reads; returns the version. */
 int64_t platform_write_other_rows(const platform_fixture_t *fixture,
                                   size_t count);
--- /dev/null
+++ b/tests/e2e/test_target_drain.c
@@ -0,0 +1,130 @@
+#include "platform_fixture.h"
+
+#include "berylvane/common/program.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+/*
+ * Guards against queued work that starts at a target which has announced that
+ * it drains, where the target's exit would cut it off; against running work
+ * that is cut off by the drain; and against a node that stays out of use after
+ * its target is ready again.
+ */
+#define POLL_US 10000
+#define CALLS 7
+#define CONFIG                                                                \
+    "{\"Version\":\"r1\",\"Services\":[{\"Name\":\"front\"},{\"Name\":"       \
+    "\"back\"}],\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":["    \
+    "{\"Name\":\"one\",\"Prefix\":\"/a/\",\"Type\":\"unsafe\",\"TimeoutMs\":" \
+    "60000,\"Priority\":0,\"Service\":\"back\"}]}]}"
+
+static platform_fixture_t fixture;
+
+static void
+kill_remaining(void)
+{
+    platform_kill_remaining(&fixture);
+}
+
+/* Number of pieces of work in the queue of a node. */
+static json_int_t
+queued_work(size_t node_index)
+{
+    bv_http_reply_t reply = platform_request(
+        fixture.nodes[node_index].ports[PLATFORM_PORT_OPERATORS], "GET",
+        "/status", NULL, NULL);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    json_t *status = json_loadb(text, size, 0, NULL);
+    json_int_t queued = json_integer_value(json_object_get(status, "queued"));
+    json_decref(status);
+    bv_http_reply_clear(&reply);
+    return queued;
+}
+
+static void *
+run_call(void *data)
+{
+    char *url =
+        g_strdup_printf("http://127.0.0.1:%u/a/1",
+                        fixture.nodes[0].ports[PLATFORM_PORT_OUTBOUND]);
+    bv_http_call_t request = {
+        .method = "POST",
+        .url = url,
+        .headers = "Host: h.example\r\nRequest-Id: 7\r\n",
+        .body = data,
+        .timeout_us = PLATFORM_STATE_TIMEOUT_US,
+    };
+    bv_http_reply_t reply = bv_http_call(&request);
+    guint status = reply.status;
+    bv_http_reply_clear(&reply);
+    g_free(url);
+    return GUINT_TO_POINTER(status);
+}
+
+/* Returns how many of the calls were answered with success. */
+static uint32_t
+join_calls(GThread *const threads[CALLS])
+{
+    uint32_t successes = 0;
+    for (size_t i = 0; i < CALLS; i++) {
+        guint status = GPOINTER_TO_UINT(g_thread_join(threads[i]));
+        ck_assert_msg(status == 200 || status == 503, "status %u", status);
+        successes += status == 200;
+    }
+    return successes;
+}
+
+static void
+wait_until_queued(const platform_node_t *back)
+{
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    while (queued_work(1) == 0 ||
+           g_atomic_int_get(&back->arrived) + queued_work(1) < CALLS) {
+        ck_assert(bv_clock_now_us() < end_us);
+        ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "ready"), 200);
+        usleep(POLL_US);
+    }
+}
+
+START_TEST(test_queue_of_a_draining_target)
+{
+    apr_pool_t *pool = bv_program_start();
+    platform_node_t *back = &fixture.nodes[1];
+    GThread *threads[CALLS];
+    GBytes *body = g_bytes_new_static("order", 5);
+    atexit(kill_remaining);
+    platform_start_store(&fixture);
+    platform_start_node(&fixture, "front");
+    platform_start_node(&fixture, "back");
+    platform_wait_for_store(&fixture);
+    platform_write_row(&fixture, "op", "config", CONFIG);
+    platform_wait_for_status(&fixture, 0, "/a/1", 200);
+    g_atomic_int_set(&back->arrived, 0);
+    g_atomic_int_set(&back->mode, PLATFORM_TARGET_HOLD);
+    for (size_t i = 0; i < CALLS; i++) {
+        threads[i] = g_thread_new("call", run_call, body);
+    }
+    wait_until_queued(back);
+    uint32_t running = (uint32_t)g_atomic_int_get(&back->arrived);
+    ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "draining"), 200);
+    platform_release_calls(back);
+    ck_assert_uint_eq(join_calls(threads), running);
+    ck_assert_int_eq(g_atomic_int_get(&back->arrived), (int)running);
+    platform_wait_for_status(&fixture, 0, "/a/1", 200);
+    platform_stop(&fixture);
+    g_bytes_unref(body);
+    bv_program_stop(pool);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"queue_of_a_draining_target", test_queue_of_a_draining_target, 1},
+        {NULL}};
+    return support_run("target_drain", tests);
+}
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -456,6 +456,59 @@
 }
 END_TEST
 
+/*
+ * Guards against work that starts at a target which drains, where the target's
+ * exit would cut it off. All queued work must be refused, critical work too,
+ * while running work keeps its slot; without the drain the queue continues.
+ */
+START_TEST(test_drain_refuses_queued_work)
+{
+    bv_admission_options_t options = default_options;
+    options.slots = 1;
+    options.queue_target_us = 1000 * US_PER_MS;
+    bv_admission_t *admission = bv_admission_create(&options);
+    const bv_class_t classes[] = {BV_CLASS_NORMAL, BV_CLASS_BATCH,
+                                  BV_CLASS_CRITICAL, BV_CLASS_NORMAL};
+    bv_reason_t reason = BV_REASON_NONE;
+    uint64_t id = 0;
+    for (uint64_t i = 0; i < G_N_ELEMENTS(classes); i++) {
+        bv_work_t work = {
+            .id = i + 1,
+            .priority = bv_priority(classes[i], 64),
+            .is_long_running = i == 3,
+            .deadline_us = FAR_DEADLINE_US,
+        };
+        ck_assert_int_eq(
+            bv_admission_offer(admission, US_PER_MS, &work, &reason),
+            i == 0 ? BV_WORK_RUN : BV_WORK_QUEUED);
+    }
+    options.is_draining = true;
+    bv_admission_configure(admission, &options);
+    ck_assert_uint_eq(bv_admission_running(admission), 1);
+    bv_work_result_t result = {.latency_us = US_PER_MS, .completed = true};
+    bv_admission_finish(admission, 2 * US_PER_MS, 1, &result);
+    for (size_t i = 1; i < G_N_ELEMENTS(classes); i++) {
+        ck_assert_int_eq(
+            bv_admission_next(admission, 2 * US_PER_MS, &id, &reason),
+            BV_WORK_REFUSED);
+        ck_assert_int_eq(reason, BV_REASON_DRAINING);
+    }
+    ck_assert_int_eq(bv_admission_next(admission, 2 * US_PER_MS, &id, &reason),
+                     BV_WORK_QUEUED);
+    options.is_draining = false;
+    bv_admission_configure(admission, &options);
+    bv_work_t work = {
+        .id = 9,
+        .priority = bv_priority(BV_CLASS_BATCH, 64),
+        .deadline_us = FAR_DEADLINE_US,
+    };
+    ck_assert_int_eq(
+        bv_admission_offer(admission, 2 * US_PER_MS, &work, &reason),
+        BV_WORK_RUN);
+    bv_admission_destroy(admission);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -466,6 +519,7 @@
         {"late_work_is_dropped", test_late_work_is_dropped, 1},
         {"configured_later", test_configured_later, 1},
         {"fixed_limit", test_fixed_limit, 2},
+        {"drain_refuses_queued_work", test_drain_refuses_queued_work, 1},
         {"random", test_random, 1},
         {"queue_against_naive", test_queue_against_naive, 1},
         {NULL}};
