Refuse heartbeats that identify no target of this node

Requests were run by a service that no configuration allowed them to go to: one heartbeat without born, Zone and Version, with the id and address of a running target and the name of another service, moved that target to the service. A heartbeat without a start was never ordered against one with a start, and the service was not compared with that of the node's settings.

A heartbeat must name the service of the node's settings, if they name one. A target does not change its service or address within one start. Anything else is answered with 400 and changes nothing; it is counted (announcements_bad) and logged within a class of the log budget of its own, which also bounds member_row_bad. Rows of the members table with a duplicate name are not read.

The state of the local target moves from node/target.c to core/local_target, its one owner.

Test changes: heartbeats in test_platform and test_heartbeat_values lacked Version, Zone and mostly born and were expected to be valid. They now have these fields, and the heartbeat without born is a case that must be refused.

--- a/core/announcement.c
+++ b/core/announcement.c
@@ -60,6 +60,19 @@
            newest->incarnation_start_ms == announcement->incarnation_start_ms;
 }
 
+static bool
+is_in_conflict(const bv_announcement_t *newest,
+               const bv_announcement_t *announcement)
+{
+    return newest->incarnation_start_ms != 0 &&
+           newest->incarnation_start_ms ==
+               announcement->incarnation_start_ms &&
+           strcmp(newest->instance, announcement->instance) == 0 &&
+           (strcmp(newest->service, announcement->service) != 0 ||
+            strcmp(newest->address, announcement->address) != 0 ||
+            newest->port != announcement->port);
+}
+
 bv_announcement_result_t
 bv_announcement_apply(bv_announcement_t *newest,
                       const bv_announcement_t *announcement)
@@ -67,6 +80,9 @@
     if (announcement->state == BV_ANNOUNCED_LEFT) {
         return apply_left(newest, announcement);
     }
+    if (is_in_conflict(newest, announcement)) {
+        return BV_ANNOUNCED_CONFLICT;
+    }
     if (has_announcement(newest) && (is_older(newest, announcement) ||
                                      is_after_leaving(newest, announcement))) {
         return BV_ANNOUNCED_STALE;
--- a/core/log_budget.c
+++ b/core/log_budget.c
@@ -10,6 +10,7 @@
     [BV_LOG_CLASS_SUCCESS] = 20,
     [BV_LOG_CLASS_REFUSAL] = 100,
     [BV_LOG_CLASS_FAILURE] = 200,
+    [BV_LOG_CLASS_INVALID_INPUT] = 5,
 };
 
 static void
@@ -39,6 +40,7 @@
 const char *
 bv_log_class_name(bv_log_class_t log_class)
 {
-    static const char *const names[] = {"success", "refusal", "failure"};
+    static const char *const names[] = {"success", "refusal", "failure",
+                                        "invalid_input"};
     return names[log_class];
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -50,6 +50,8 @@
     X(PROGRESS_ASKED, "progress_asked", "silent peer connections asked")      \
     X(PROGRESS_REPLACED, "progress_replaced", "sessions left for silence")    \
     X(RING_FULL, "ring_full", "refusals because a ring was full")             \
+    X(ANNOUNCEMENTS_BAD, "announcements_bad",                                 \
+      "heartbeats refused as invalid")                                        \
     X(PEER_BAD, "peer_bad", "peer messages that were not understood")         \
     X(PEER_SENT, "peer_sent", "messages sent to peers")                       \
     X(PEER_RECEIVED, "peer_received", "messages received from peers")         \
--- a/include/berylvane/core/announcement.h
+++ b/include/berylvane/core/announcement.h
@@ -42,13 +42,20 @@
     BV_ANNOUNCED_RENEWED,
     /* The incarnation, state, service, address, port or slots changed. */
     BV_ANNOUNCED_CHANGED,
+    /* Names another service than the node's; see local_target.h. */
+    BV_ANNOUNCED_OTHER_SERVICE,
+    /*
+     * States another service or address than `newest` for the same start of
+     * the same instance, which a target does not change.
+     */
+    BV_ANNOUNCED_CONFLICT,
 } bv_announcement_result_t;
 
 /*
  * Compares `announcement` with `newest` (all zero if there is none yet) and
- * copies it to `newest` unless it is stale. An announcement in the state
- * BV_ANNOUNCED_LEFT carries only the instance name: it is stale unless
- * `newest` has that name and has not left, and changes only its state.
+ * copies it to `newest` unless it is stale or in conflict. An announcement in
+ * the state BV_ANNOUNCED_LEFT carries only the instance name: it is stale
+ * unless `newest` has that name and has not left, and changes only its state.
  */
 bv_announcement_result_t
 bv_announcement_apply(bv_announcement_t *newest,
--- /dev/null
+++ b/include/berylvane/core/local_target.h
@@ -0,0 +1,62 @@
+#ifndef BERYLVANE_CORE_LOCAL_TARGET_H
+#define BERYLVANE_CORE_LOCAL_TARGET_H
+
+#include "berylvane/core/announcement.h"
+
+/*
+ * local_target - the state of the target beside a node: whether it may be sent
+ * work
+ *
+ * Handles announcements of other writers and other services, targets that
+ * drain, leave or fall silent, and targets that accept no connection.
+ */
+typedef struct {
+    /* The service that the node's settings name; NULL if they name none. */
+    const char *service;
+    /* Time without an announcement after which a target counts as silent. */
+    int64_t silence_us;
+} bv_local_target_options_t;
+
+/* Only the functions below change the fields. */
+typedef struct {
+    bv_local_target_options_t options;
+    /* The newest announcement of the target; all zero if there is none. */
+    bv_announcement_t last_announcement;
+    /* An announcement arrived recently; cleared when announcements cease. */
+    bool announced;
+    /* A connection to the target failed after its last announcement. */
+    bool unreachable;
+    int64_t announced_us;
+} bv_local_target_t;
+
+/* Initializes the state; `options->service` must outlive it. */
+void bv_local_target_init(bv_local_target_t *target,
+                          const bv_local_target_options_t *options);
+
+/*
+ * Applies an announcement. The target stays as it was if the result is
+ * BV_ANNOUNCED_STALE, BV_ANNOUNCED_OTHER_SERVICE or BV_ANNOUNCED_CONFLICT.
+ */
+bv_announcement_result_t
+bv_local_target_apply(bv_local_target_t *target, int64_t now_us,
+                      const bv_announcement_t *announcement);
+
+/* Whether the target may be sent new work. */
+bool bv_local_target_is_usable(const bv_local_target_t *target);
+
+/* Whether the target drains or has left, so that no queued work may start. */
+bool bv_local_target_is_leaving(const bv_local_target_t *target);
+
+/*
+ * Marks the target as silent if its announcements have ceased; returns whether
+ * it has just become silent.
+ */
+bool bv_local_target_check_silence(bv_local_target_t *target, int64_t now_us);
+
+/*
+ * Marks the target as unreachable until its next announcement; returns whether
+ * it was usable before.
+ */
+bool bv_local_target_set_unreachable(bv_local_target_t *target);
+
+#endif
--- a/include/berylvane/core/log_budget.h
+++ b/include/berylvane/core/log_budget.h
@@ -18,6 +18,8 @@
     BV_LOG_CLASS_REFUSAL,
     /* The request failed, or its outcome is unknown. */
     BV_LOG_CLASS_FAILURE,
+    /* A heartbeat or a row of the members table was not valid. */
+    BV_LOG_CLASS_INVALID_INPUT,
     BV_LOG_CLASS_END,
 } bv_log_class_t;
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -11,6 +11,7 @@
 #include "berylvane/core/config_fetcher.h"
 #include "berylvane/core/config_watch.h"
 #include "berylvane/core/credit.h"
+#include "berylvane/core/local_target.h"
 #include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/outgoing_sessions.h"
@@ -52,17 +53,6 @@
     void *data;
 } bv_event_t;
 
-/* State of the local target, the service instance beside this node. */
-typedef struct {
-    /* The newest announcement of the target. */
-    bv_announcement_t last_announcement;
-    /* An announcement arrived recently; cleared when announcements cease. */
-    bool announced;
-    /* A connection to the target failed after its last announcement. */
-    bool unreachable;
-    int64_t announced_us;
-} bv_local_target_t;
-
 /* Phases of a drain, in order. */
 typedef enum {
     BV_DRAIN_NONE,
@@ -362,6 +352,8 @@
  * work.
  */
 
+void bv_target_create(bv_node_t *node);
+
 /* Applies an announcement and replies to `call`, which frees `call`. */
 void bv_target_handle_announcement(bv_node_t *node, bv_call_t *call);
 bool bv_target_is_usable(const bv_node_t *node);
--- a/node/node.c
+++ b/node/node.c
@@ -105,6 +105,7 @@
         g_hash_table_new(bv_attempt_key_hash, bv_attempt_key_equal);
     node->served = g_hash_table_new(g_int64_hash, g_int64_equal);
     node->served_by_request = g_hash_table_new(bv_id_hash, bv_id_equal);
+    bv_target_create(node);
     g_queue_init(&node->loopback_messages);
     g_queue_init(&node->local_events);
 }
--- a/node/own_dialect.c
+++ b/node/own_dialect.c
@@ -38,7 +38,7 @@
     (void)context;
     gsize size;
     const char *text = g_bytes_get_data(call->body, &size);
-    json_t *root = json_loadb(text, size, 0, NULL);
+    json_t *root = json_loadb(text, size, JSON_REJECT_DUPLICATES, NULL);
     announcement_body_t body = {0};
     bv_fields_read(root, body_fields, &body, "announcement", "", findings);
     bool is_valid = bv_findings_is_empty(findings);
--- a/node/rendezvous.c
+++ b/node/rendezvous.c
@@ -23,8 +23,12 @@
 #define JITTER_HIGH 1.2
 
 static void
-report_bad_row(const json_t *row)
+report_bad_row(bv_node_t *node, const json_t *row)
 {
+    if (!bv_log_budget_try_consume(&node->log_budget, node->now_us,
+                                   BV_LOG_CLASS_INVALID_INPUT)) {
+        return;
+    }
     const char *key = json_string_value(json_object_get(row, "key"));
     bv_log(BV_LOG_WARN, "member_row_bad", "key", key != NULL ? key : "", NULL);
 }
@@ -37,7 +41,7 @@
     json_array_foreach((json_t *)rows, index, row) {
         bv_member_t member;
         if (!bv_member_row_read(row, &member)) {
-            report_bad_row(row);
+            report_bad_row(node, row);
             continue;
         }
         bv_membership_merge_record(node->membership, node->now_us, &member);
--- a/node/target.c
+++ b/node/target.c
@@ -1,17 +1,27 @@
 #include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
 
+#define SOURCE "announcement"
 #define ANNOUNCEMENT_TIMEOUT_US (10 * BV_US_PER_S)
 
+void
+bv_target_create(bv_node_t *node)
+{
+    bv_local_target_options_t options = {
+        .service = node->settings->service,
+        .silence_us = ANNOUNCEMENT_TIMEOUT_US,
+    };
+    bv_local_target_init(&node->target, &options);
+}
+
 bool
 bv_target_is_usable(const bv_node_t *node)
 {
-    const bv_local_target_t *target = &node->target;
-    return target->announced && !target->unreachable &&
-           target->last_announcement.state == BV_ANNOUNCED_READY;
+    return bv_local_target_is_usable(&node->target);
 }
 
 /*
@@ -34,9 +44,7 @@
 bv_target_check_silence(bv_node_t *node)
 {
     bv_local_target_t *target = &node->target;
-    if (target->announced &&
-        node->now_us - target->announced_us > ANNOUNCEMENT_TIMEOUT_US) {
-        target->announced = false;
+    if (bv_local_target_check_silence(target, node->now_us)) {
         bv_log(BV_LOG_WARN, "target_silent", "instance",
                target->last_announcement.instance, NULL);
         publish_capacity(node);
@@ -47,10 +55,9 @@
 bv_target_set_unreachable(bv_node_t *node)
 {
     bv_local_target_t *target = &node->target;
-    if (!bv_target_is_usable(node)) {
+    if (!bv_local_target_set_unreachable(target)) {
         return;
     }
-    target->unreachable = true;
     bv_log(BV_LOG_WARN, "target_unreachable", "instance",
            target->last_announcement.instance, NULL);
     publish_capacity(node);
@@ -64,33 +71,52 @@
 }
 
 static void
-apply_announcement(bv_node_t *node, const bv_announcement_t *announcement)
+handle_change(bv_node_t *node)
 {
-    bv_local_target_t *target = &node->target;
-    bool was_usable = bv_target_is_usable(node);
-    bv_announcement_result_t result =
-        bv_announcement_apply(&target->last_announcement, announcement);
-    if (result == BV_ANNOUNCED_STALE) {
+    const bv_announcement_t *newest = &node->target.last_announcement;
+    bv_log(BV_LOG_INFO, "target_announced", "instance", newest->instance,
+           "service", newest->service, "port", BV_NUM(newest->port), "slots",
+           BV_NUM(newest->slots), "state", state_name(newest->state), NULL);
+    publish_capacity(node);
+    /* Refuses queued work if the target leaves, starts it if it is back. */
+    bv_serve_tick(node);
+}
+
+static void
+apply_announcement(bv_node_t *node, const bv_announcement_t *announcement,
+                   bv_findings_t *findings)
+{
+    switch (bv_local_target_apply(&node->target, node->now_us, announcement)) {
+    case BV_ANNOUNCED_RENEWED:
+        return;
+    case BV_ANNOUNCED_CHANGED:
+        handle_change(node);
+        return;
+    case BV_ANNOUNCED_STALE:
         bv_log(BV_LOG_INFO, "announcement_stale", "instance",
                announcement->instance, "sequence",
                BV_NUM((gint64)announcement->sequence), NULL);
         return;
-    }
-    target->announced_us = node->now_us;
-    target->announced = true;
-    target->unreachable = false;
-    if (result == BV_ANNOUNCED_RENEWED && was_usable) {
+    case BV_ANNOUNCED_OTHER_SERVICE:
+        bv_findings_add(findings, SOURCE, "service",
+                        "expected the service of this node, \"%s\"",
+                        node->settings->service);
+        return;
+    case BV_ANNOUNCED_CONFLICT:
+        bv_findings_add(findings, SOURCE, "service",
+                        "service or address changed within one start");
         return;
     }
-    bv_log(BV_LOG_INFO, "target_announced", "instance",
-           target->last_announcement.instance, "service",
-           target->last_announcement.service, "port",
-           BV_NUM(target->last_announcement.port), "slots",
-           BV_NUM(target->last_announcement.slots), "state",
-           state_name(target->last_announcement.state), NULL);
-    publish_capacity(node);
-    /* Refuses queued work if the target leaves, starts it if it is back. */
-    bv_serve_tick(node);
+}
+
+static void
+report_bad_announcement(bv_node_t *node, const char *problems)
+{
+    bv_counter_add(BV_COUNT_ANNOUNCEMENTS_BAD, 1);
+    if (bv_log_budget_try_consume(&node->log_budget, node->now_us,
+                                  BV_LOG_CLASS_INVALID_INPUT)) {
+        bv_log(BV_LOG_WARN, "announcement_bad", "findings", problems, NULL);
+    }
 }
 
 void
@@ -102,11 +128,11 @@
     bv_reply_t reply = {.status = 200, .outcome = BV_OUTCOME_RAN};
     if (dialect->read_announcement(dialect->context, call, &announcement,
                                    findings)) {
-        apply_announcement(node, &announcement);
+        apply_announcement(node, &announcement, findings);
     }
-    else {
+    if (!bv_findings_is_empty(findings)) {
         char *problems = bv_findings_to_string(findings);
-        bv_log(BV_LOG_WARN, "announcement_bad", "findings", problems, NULL);
+        report_bad_announcement(node, problems);
         reply.status = 400;
         reply.outcome = BV_OUTCOME_NOT_RUN;
         reply.body = g_bytes_new_take(problems, strlen(problems));
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -144,6 +144,9 @@
     platform_wait_for_status(&fixture, 0, "/a/1", 200);
     /* An invalid heartbeat must be refused and leave the target announced. */
     ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "asleep"), 400);
+    back->service = "front";
+    ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "ready"), 400);
+    back->service = "back";
     ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", ""), 200);
     /* Odd rows of another program must hide no member. */
     store_odd_members();
--- a/tests/test_log_budget.c
+++ b/tests/test_log_budget.c
@@ -14,6 +14,7 @@
     {BV_LOG_CLASS_SUCCESS, 1000, 20 * 10 + 40},
     {BV_LOG_CLASS_REFUSAL, 5000, 100 * 10 + 200},
     {BV_LOG_CLASS_FAILURE, 5000, 200 * 10 + 400},
+    {BV_LOG_CLASS_INVALID_INPUT, 5000, 5 * 10 + 10},
 };
 
 /* Lines beyond the rate of their class must be suppressed and counted. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -152,7 +152,10 @@
 } announcement_case_t;
 
 #define HEARTBEAT_PATH "/v1/instances/i-7/heartbeat"
-#define INFO_FIELD "\"Info\":{\"Service\":\"a\",\"Slots\":4}"
+#define BORN_FIELD "\"born\":99"
+#define INFO_FIELD                                                            \
+    "\"Info\":{\"Service\":\"a\",\"Version\":\"v\",\"Zone\":\"z\",\"Slots\":" \
+    "4}"
 #define ADDRESS_FIELD "\"Address\":\"10.0.0.1:80\""
 #define STATUS_FIELD                                                          \
     "\"Status\":{\"State\":\"ready\",\"Sequence\":4,"                         \
@@ -163,12 +166,13 @@
      "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD ",\"born\":99}", true,
      BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
-     "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD ",\"New\":1}", true,
-     BV_ANNOUNCED_READY},
+     "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD "," BORN_FIELD
+     ",\"New\":1}",
+     true, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
      "{" ADDRESS_FIELD "," INFO_FIELD
      ",\"Status\":{\"State\":\"draining\",\"Sequence\":"
-     "5,\"ColdRemainingMs\":0}}",
+     "5,\"ColdRemainingMs\":0}," BORN_FIELD "}",
      true, BV_ANNOUNCED_DRAINING},
     {"/v1/instances/i-7/deregister", "", true, BV_ANNOUNCED_LEFT},
     {"/v1/instances//deregister", "", false, BV_ANNOUNCED_READY},
@@ -176,24 +180,28 @@
     {"/v1/instances/heartbeat", "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "", false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH, "[1]", false, BV_ANNOUNCED_READY},
-    {HEARTBEAT_PATH, "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD, false,
+    {HEARTBEAT_PATH,
+     "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD "," BORN_FIELD, false,
      BV_ANNOUNCED_READY},
-    {HEARTBEAT_PATH, "{" INFO_FIELD "," STATUS_FIELD "}", false,
+    {HEARTBEAT_PATH, "{" INFO_FIELD "," STATUS_FIELD "," BORN_FIELD "}", false,
      BV_ANNOUNCED_READY},
-    {HEARTBEAT_PATH, "{\"Address\":\"here\"," INFO_FIELD "," STATUS_FIELD "}",
+    {HEARTBEAT_PATH,
+     "{\"Address\":\"here\"," INFO_FIELD "," STATUS_FIELD "," BORN_FIELD "}",
      false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
-     "{" ADDRESS_FIELD ",\"Info\":{\"Service\":7,\"Slots\":4}," STATUS_FIELD
-     "}",
+     "{" ADDRESS_FIELD ",\"Info\":{\"Service\":7,\"Version\":\"v\",\"Zone\":"
+     "\"z\",\"Slots\":4}," STATUS_FIELD "," BORN_FIELD "}",
      false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
-     "{" ADDRESS_FIELD
-     ",\"Info\":{\"Service\":\"a\",\"Slots\":\"4\"}," STATUS_FIELD "}",
+     "{" ADDRESS_FIELD ",\"Info\":{\"Service\":\"a\",\"Version\":\"v\","
+     "\"Zone\":\"z\",\"Slots\":\"4\"}," STATUS_FIELD "," BORN_FIELD "}",
      false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
      "{" ADDRESS_FIELD "," INFO_FIELD
      ",\"Status\":{\"State\":\"asleep\",\"Sequence\":4,"
-     "\"ColdRemainingMs\":0}}",
+     "\"ColdRemainingMs\":0}," BORN_FIELD "}",
+     false, BV_ANNOUNCED_READY},
+    {HEARTBEAT_PATH, "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD "}",
      false, BV_ANNOUNCED_READY},
     {HEARTBEAT_PATH,
      "{" ADDRESS_FIELD "," INFO_FIELD "," STATUS_FIELD ",\"born\":\"x\"}",
@@ -423,7 +431,8 @@
 
 /*
  * Other programs may write rows in any form to the table. Guards against a row
- * that cannot be decoded and prevents the reading of the others.
+ * that cannot be decoded and prevents the reading of the others, and against a
+ * member's row of which one of two values is taken.
  */
 START_TEST(test_decode_rows)
 {
@@ -432,7 +441,9 @@
         "{\"Table\":\"t\",\"Key\":\"b\",\"Value\":\"?\",\"Ver\":2},"
         "{\"Table\":\"t\",\"Key\":\"c\",\"Value\":7,\"Ver\":3},"
         "{\"Table\":\"t\",\"Key\":\"d\",\"Value\":\"e30=\",\"Ver\":\"4\"},"
-        "{\"Table\":\"t\",\"Key\":\"e\",\"Deleted\":true,\"Ver\":5},\"x\"]",
+        "{\"Table\":\"t\",\"Key\":\"e\",\"Deleted\":true,\"Ver\":5},"
+        "{\"Table\":\"member\",\"Key\":\"f\",\"Ver\":6,\"Value\":"
+        "\"eyJuYW1lIjoiYSIsIm5hbWUiOiJiIn0=\"},\"x\"]",
         0, NULL);
     json_t *rows = json_array();
     bv_rows_decode(wire, NULL, rows);
