Record the departure of a target that was not announced before

core/local_target now records departures, the latest 64. A heartbeat of a recorded instance is stale unless it states a later start than the one that left, or, if that was not known, than the time at which the departure arrived.

--- a/include/berylvane/core/local_target.h
+++ b/include/berylvane/core/local_target.h
@@ -8,8 +8,20 @@
  * work
  *
  * Handles announcements of other writers and other services, targets that
- * drain, leave or fall silent, and targets that accept no connection.
+ * drain, leave or fall silent, targets that accept no connection, and
+ * heartbeats that arrive after the departure of their target, also when the
+ * departure is the first that a restarted node hears of it.
  */
+
+/* A further departure replaces the oldest one. */
+#define BV_DEPARTURES_LIMIT 64
+
+/* The start of `instance` at `last_start_ms`, and all earlier ones, ended. */
+typedef struct {
+    char instance[BV_INSTANCE_BYTES];
+    uint64_t last_start_ms;
+} bv_departure_t;
+
 typedef struct {
     /* The service that the node's settings name; NULL if they name none. */
     const char *service;
@@ -27,6 +39,9 @@
     /* A connection to the target failed after its last announcement. */
     bool unreachable;
     int64_t announced_us;
+    bv_departure_t departures[BV_DEPARTURES_LIMIT];
+    /* Departures ever recorded; the next one's place, modulo the limit. */
+    uint32_t departure_count;
 } bv_local_target_t;
 
 /* Initializes the state; `options->service` must outlive it. */
@@ -36,10 +51,15 @@
 /*
  * Applies an announcement. The target stays as it was if the result is
  * BV_ANNOUNCED_STALE, BV_ANNOUNCED_OTHER_SERVICE or BV_ANNOUNCED_CONFLICT.
+ *
+ * A departure is recorded, also that of an instance which was not announced
+ * before. Its start is not known then, and counts as not later than `wall_ms`,
+ * the wall-clock time. Announcements of the recorded start and of earlier ones
+ * are stale.
  */
 bv_announcement_result_t
 bv_local_target_apply(bv_local_target_t *target, int64_t now_us,
-                      const bv_announcement_t *announcement);
+                      uint64_t wall_ms, const bv_announcement_t *announcement);
 
 /* Whether the target may be sent new work. */
 bool bv_local_target_is_usable(const bv_local_target_t *target);
--- a/node/target.c
+++ b/node/target.c
@@ -86,7 +86,9 @@
 apply_announcement(bv_node_t *node, const bv_announcement_t *announcement,
                    bv_findings_t *findings)
 {
-    switch (bv_local_target_apply(&node->target, node->now_us, announcement)) {
+    uint64_t wall_ms = (uint64_t)(bv_clock_wall_us() / BV_US_PER_MS);
+    switch (bv_local_target_apply(&node->target, node->now_us, wall_ms,
+                                  announcement)) {
     case BV_ANNOUNCED_RENEWED:
         return;
     case BV_ANNOUNCED_CHANGED:
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #define POLL_US 20000
+#define LONG_AGO_MS G_GINT64_CONSTANT(9)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define RENDEZVOUS_DEFAULT_MS 120000
 #define GOSSIP_KEY                                                            \
@@ -146,9 +147,11 @@
     char *body = g_strdup_printf(
         "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
         "\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":4},\"Status\":{"
-        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},\"born\":9}",
+        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},"
+        "\"born\":%" G_GINT64_FORMAT "}",
         node->ports[PLATFORM_PORT_TARGET], node->service, state,
-        (unsigned int)++node->sequence);
+        (unsigned int)++node->sequence,
+        node->born_ms != 0 ? (gint64)node->born_ms : LONG_AGO_MS);
     char *path = g_strdup_printf("/v1/instances/i-%zu/heartbeat", node_index);
     uint16_t status = platform_request_status(
         node->ports[PLATFORM_PORT_CONTROL], "POST", path, NULL, body);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -46,6 +46,8 @@
     pid_t pid;
     /* Sequence number of the last heartbeat of the target. */
     uint64_t sequence;
+    /* Start in the target's heartbeats; 0 selects a time long ago. */
+    int64_t born_ms;
     /* How the target answers: a value of PLATFORM_TARGET_... */
     gint mode;
     /* Number of calls that the target has served. */
--- a/tests/e2e/test_target_drain.c
+++ b/tests/e2e/test_target_drain.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 /*
@@ -95,7 +96,7 @@
     platform_node_t *back = &fixture.nodes[1];
     GThread *threads[CALLS];
     GBytes *body = g_bytes_new_static("order", 5);
-    atexit(kill_remaining);
+    memset(&fixture, 0, sizeof(fixture));
     platform_start_store(&fixture);
     platform_start_node(&fixture, "front");
     platform_start_node(&fixture, "back");
@@ -120,11 +121,47 @@
 }
 END_TEST
 
+/*
+ * Guards against requests that reach a target after it left, because the node
+ * beside it had restarted, heard of the departure first and of an earlier
+ * heartbeat later.
+ */
+START_TEST(test_departure_heard_first)
+{
+    apr_pool_t *pool = bv_program_start();
+    platform_node_t *back = &fixture.nodes[0];
+    memset(&fixture, 0, sizeof(fixture));
+    platform_start_store(&fixture);
+    platform_start_node(&fixture, "back");
+    platform_wait_for_store(&fixture);
+    uint16_t status = 0;
+    int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
+    while (status != 200) {
+        ck_assert(bv_clock_now_us() < end_us);
+        status =
+            platform_request_status(back->ports[PLATFORM_PORT_CONTROL], "POST",
+                                    "/v1/instances/i-0/deregister", NULL, "");
+        usleep(POLL_US);
+    }
+    platform_write_row(&fixture, "op", "config", CONFIG);
+    platform_wait_for_status(&fixture, 0, "/none/1", 404);
+    ck_assert_uint_eq(platform_heartbeat(&fixture, 0, "ready"), 200);
+    ck_assert_uint_eq(platform_call(&fixture, 0, "/a/1", ""), 503);
+    ck_assert_int_eq(g_atomic_int_get(&back->arrived), 0);
+    back->born_ms = bv_clock_wall_us() / BV_US_PER_MS + 1;
+    platform_wait_for_status(&fixture, 0, "/a/1", 200);
+    platform_stop(&fixture);
+    bv_program_stop(pool);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"queue_of_a_draining_target", test_queue_of_a_draining_target, 1},
+        {"departure_heard_first", test_departure_heard_first, 1},
         {NULL}};
+    atexit(kill_remaining);
     return support_run("target_drain", tests);
 }
--- a/tests/test_local_target.c
+++ b/tests/test_local_target.c
@@ -10,6 +10,8 @@
  * follow the announcements.
  */
 #define SILENCE_US 1000
+/* Time at which announcements arrive. */
+#define WALL_MS 50
 #define READY BV_ANNOUNCED_READY
 #define DRAINING BV_ANNOUNCED_DRAINING
 #define LEFT BV_ANNOUNCED_LEFT
@@ -160,6 +162,68 @@
      "shop",
      true,
      false},
+    {"departure heard first",
+     "shop",
+     {{"a", 0, 0, LEFT, "", "", 0}},
+     1,
+     BV_ANNOUNCED_STALE,
+     "",
+     false,
+     false},
+    {"late heartbeat after a departure heard first",
+     "shop",
+     {{"a", 0, 0, LEFT, "", "", 0}, FIRST},
+     2,
+     BV_ANNOUNCED_STALE,
+     "",
+     false,
+     false},
+    {"start at the time of the departure heard first",
+     "shop",
+     {{"a", 0, 0, LEFT, "", "", 0},
+      {"a", WALL_MS, 1, READY, "shop", "10.0.0.1", 80}},
+     2,
+     BV_ANNOUNCED_STALE,
+     "",
+     false,
+     false},
+    {"new start after a departure heard first",
+     "shop",
+     {{"a", 0, 0, LEFT, "", "", 0},
+      {"a", WALL_MS + 1, 1, READY, "shop", "10.0.0.1", 80}},
+     2,
+     BV_ANNOUNCED_CHANGED,
+     "shop",
+     true,
+     false},
+    {"another instance after a departure heard first",
+     "shop",
+     {{"b", 0, 0, LEFT, "", "", 0}, FIRST},
+     2,
+     BV_ANNOUNCED_CHANGED,
+     "shop",
+     true,
+     false},
+    {"new start before the departure of the known one arrived",
+     "shop",
+     {FIRST,
+      {"a", 0, 0, LEFT, "", "", 0},
+      {"a", 20, 1, READY, "shop", "10.0.0.1", 80}},
+     3,
+     BV_ANNOUNCED_CHANGED,
+     "shop",
+     true,
+     false},
+    {"departure of an earlier instance, heard late",
+     "shop",
+     {{"b", 20, 1, READY, "shop", "10.0.0.1", 80},
+      {"a", 0, 0, LEFT, "", "", 0},
+      {"a", 30, 2, READY, "shop", "10.0.0.1", 80}},
+     3,
+     BV_ANNOUNCED_STALE,
+     "shop",
+     true,
+     false},
 };
 
 static bv_announcement_t
@@ -188,7 +252,7 @@
     bv_announcement_result_t result = BV_ANNOUNCED_STALE;
     for (uint32_t i = 0; i < row->count; i++) {
         bv_announcement_t announcement = make_announcement(&row->announced[i]);
-        result = bv_local_target_apply(&target, i, &announcement);
+        result = bv_local_target_apply(&target, i, WALL_MS, &announcement);
     }
     ck_assert_msg(result == row->result, "%s: result %d", row->name, result);
     ck_assert_str_eq(target.last_announcement.service, row->newest_service);
@@ -210,32 +274,62 @@
     bv_local_target_t target;
     bv_local_target_init(&target, &options);
     ck_assert(!bv_local_target_check_silence(&target, 2 * SILENCE_US));
-    bv_local_target_apply(&target, 0, &announcement);
+    bv_local_target_apply(&target, 0, WALL_MS, &announcement);
     ck_assert(!bv_local_target_check_silence(&target, SILENCE_US));
     ck_assert(bv_local_target_check_silence(&target, SILENCE_US + 1));
     ck_assert(!bv_local_target_check_silence(&target, SILENCE_US + 2));
     ck_assert(!bv_local_target_is_usable(&target));
     ck_assert(!bv_local_target_set_unreachable(&target));
     announcement.sequence++;
-    ck_assert_int_eq(bv_local_target_apply(&target, 0, &announcement),
+    ck_assert_int_eq(bv_local_target_apply(&target, 0, WALL_MS, &announcement),
                      BV_ANNOUNCED_CHANGED);
     ck_assert(bv_local_target_set_unreachable(&target));
     ck_assert(!bv_local_target_set_unreachable(&target));
     ck_assert(!bv_local_target_is_usable(&target));
     ck_assert(!bv_local_target_is_leaving(&target));
     announcement.sequence++;
-    ck_assert_int_eq(bv_local_target_apply(&target, 0, &announcement),
+    ck_assert_int_eq(bv_local_target_apply(&target, 0, WALL_MS, &announcement),
                      BV_ANNOUNCED_CHANGED);
     ck_assert(bv_local_target_is_usable(&target));
 }
 END_TEST
 
+/*
+ * Guards against departures that take memory without bound, and against a
+ * departure that is lost while there is room for it. Many instances leave; the
+ * latest BV_DEPARTURES_LIMIT of them must stay away.
+ */
+START_TEST(test_many_departures)
+{
+    const announced_t entry = FIRST;
+    bv_local_target_options_t options = {"shop", SILENCE_US};
+    bv_local_target_t target;
+    bv_local_target_init(&target, &options);
+    bv_announcement_t left = {.state = LEFT};
+    for (int i = 0; i < 3 * BV_DEPARTURES_LIMIT; i++) {
+        g_snprintf(left.instance, BV_INSTANCE_BYTES, "i-%d", i);
+        bv_local_target_apply(&target, 0, WALL_MS, &left);
+        bv_local_target_apply(&target, 0, WALL_MS, &left);
+    }
+    bv_announcement_t late = make_announcement(&entry);
+    for (int i = 0; i < 3 * BV_DEPARTURES_LIMIT; i++) {
+        bool is_recorded = i >= 2 * BV_DEPARTURES_LIMIT;
+        g_snprintf(late.instance, BV_INSTANCE_BYTES, "i-%d", i);
+        late.sequence++;
+        ck_assert_int_eq(bv_local_target_apply(&target, 0, WALL_MS, &late),
+                         is_recorded ? BV_ANNOUNCED_STALE
+                                     : BV_ANNOUNCED_CHANGED);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"announcements", test_announcements, G_N_ELEMENTS(cases)},
         {"silent_and_unreachable", test_silent_and_unreachable, 1},
+        {"many_departures", test_many_departures, 1},
         {NULL}};
     return support_run("local_target", tests);
 }
