Carry service names of up to 200 bytes, leave out longer entries alone

Service names have up to 200 bytes now, in configurations, settings, announcements, members' records, rows and gossip. Prefixes and names of routes have no limit. A service or a part of a route with a longer name, and a route with a host of more than 255 bytes, is left out: a finding has its place, one log line (config_entries_left_out, at most 20 entries listed) and the counter config_incomplete report it, and the rest applies. berylvanectl apply still refuses such a file. Names of nodes, data centres and regions keep their limit of 31 bytes; a node with a longer one does not start.

A gossip packet stays at 1,024 bytes. Records that did not fit were left out by the encoder after they had counted as sent, and of the records of a bucket the last ones were never sent. The size of a packet is now computed before a record is added, and a bucket takes as many packets as it needs, up to 30 records. Packets with names of ordinary length stay byte for byte as they were (test_gossip_bytes; the same bytes come from the code before).

test_member_row and test_heartbeat_values get the cases of numbers, nested values, duplicate names and bytes that are not UTF-8 which they lacked.

--- a/core/config.c
+++ b/core/config.c
@@ -8,6 +8,10 @@
 static const char *const mode_choices[] = {"bypass", "observe", "enforce",
                                            NULL};
 
+/* Bytes of a name, and rejected entries, that findings show. */
+#define SHOWN_NAME_BYTES 200
+#define LISTED_REJECTIONS 20
+
 typedef struct {
     json_t *retry;
     json_t *admission;
@@ -111,7 +115,7 @@
     {.name = "department",
      .kind = BV_FIELD_STRING,
      .offset = offsetof(service_fields_t, department),
-     .maximum = BV_NAME_BYTES - 1},
+     .maximum = BV_OPERATOR_NAME_LIMIT},
     {.name = "routes",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(service_fields_t, routes),
@@ -193,22 +197,60 @@
     return (bv_mode_t)mode;
 }
 
+char *
+config_shown_name(const char *name)
+{
+    char *start = g_strndup(name, SHOWN_NAME_BYTES);
+    char *valid = g_utf8_make_valid(start, -1);
+    g_free(start);
+    return valid;
+}
+
+void
+config_reject_entry(config_builder_t *builder, const char *pointer,
+                    const char *problem)
+{
+    builder->rejected_entries++;
+    if (builder->rejected_entries <= LISTED_REJECTIONS) {
+        builder->rejection_lines++;
+        bv_findings_add(builder->findings, builder->source, pointer,
+                        "entry left out: %s", problem);
+    }
+}
+
+static void
+count_unlisted_rejections(config_builder_t *builder)
+{
+    if (builder->rejected_entries > LISTED_REJECTIONS) {
+        builder->rejection_lines++;
+        bv_findings_add(builder->findings, builder->source, "",
+                        "%u further entries left out",
+                        builder->rejected_entries - LISTED_REJECTIONS);
+    }
+}
+
 static void
 build_service(config_builder_t *builder, const char *name, const json_t *entry)
 {
-    char *pointer = g_strdup_printf("/services/%s", name);
+    char *shown_name = config_shown_name(name);
+    char *pointer = g_strdup_printf("/services/%s", shown_name);
+    g_free(shown_name);
+    if (strlen(name) > BV_OPERATOR_NAME_LIMIT) {
+        config_reject_entry(builder, pointer, "the name is too long");
+        g_free(pointer);
+        return;
+    }
     service_fields_t service = {0};
     bv_fields_read(entry, service_fields, &service, builder->source, pointer,
                    builder->findings);
-    if (strlen(name) >= BV_NAME_BYTES) {
-        bv_findings_add(builder->findings, builder->source, pointer,
-                        "name is longer than %d bytes", BV_NAME_BYTES - 1);
-    }
     bv_mode_t mode = department_mode(builder, service.department, pointer);
     const char *key;
     json_t *route;
     json_object_foreach(service.routes, key, route) {
-        char *route_pointer = g_strdup_printf("%s/routes/%s", pointer, key);
+        char *shown_key = config_shown_name(key);
+        char *route_pointer =
+            g_strdup_printf("%s/routes/%s", pointer, shown_key);
+        g_free(shown_key);
         config_build_route(builder, name, key, route, mode, route_pointer);
         g_free(route_pointer);
     }
@@ -289,7 +331,7 @@
     config->generation = generation;
     config->routes = g_ptr_array_new_with_free_func(config_free_route);
     config_builder_t builder = {source, findings, sections.departments,
-                                config};
+                                config, 0,        0};
     build_numbers(&builder, &sections);
     build_callers(&builder, sections.callers);
     const char *name;
@@ -297,7 +339,8 @@
     json_object_foreach(sections.services, name, entry) {
         build_service(&builder, name, entry);
     }
-    if (findings->lines->len > findings_before) {
+    count_unlisted_rejections(&builder);
+    if (findings->lines->len > findings_before + builder.rejection_lines) {
         bv_config_unref(config);
         return NULL;
     }
--- a/core/config_internal.h
+++ b/core/config_internal.h
@@ -13,8 +13,24 @@
     /* The section "departments" of the document; borrowed, may be NULL. */
     json_t *departments;
     bv_config_t *config;
+    /* Entries that were left out, and lines about them among the findings. */
+    uint32_t rejected_entries;
+    uint32_t rejection_lines;
 } config_builder_t;
 
+/*
+ * Adds a finding about an entry that is left out of the configuration while
+ * the rest applies. `pointer` is the place of the entry in the document.
+ */
+void config_reject_entry(config_builder_t *builder, const char *pointer,
+                         const char *problem);
+
+/*
+ * Returns the name of an entry as it is written in findings: cut, and in valid
+ * UTF-8. The caller frees it.
+ */
+char *config_shown_name(const char *name);
+
 /*
  * Adds the route `name` of a service to the configuration. `entry` holds the
  * route's settings; `pointer` is the place of `entry` in the document, as a
--- a/core/config_route.c
+++ b/core/config_route.c
@@ -6,6 +6,7 @@
 
 #define WEIGHT_LIMIT 1000000
 #define ATTEMPTS_DEFAULT 8
+#define HOST_LIMIT_BYTES 255
 
 static const char *const class_choices[] = {"batch", "normal", "critical",
                                             NULL};
@@ -33,16 +34,14 @@
      .maximum = 16},
     {.name = "host",
      .kind = BV_FIELD_STRING,
-     .offset = offsetof(route_fields_t, host),
-     .maximum = 255},
+     .offset = offsetof(route_fields_t, host)},
     {.name = "parts",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(route_fields_t, parts)},
     {.name = "prefix",
      .kind = BV_FIELD_STRING,
      .offset = offsetof(route_fields_t, prefix),
-     .required = true,
-     .maximum = 256},
+     .required = true},
     {.name = "class",
      .kind = BV_FIELD_CHOICE,
      .offset = offsetof(route_fields_t, importance),
@@ -95,6 +94,20 @@
     g_free(((bv_weighted_service_t *)data)->service);
 }
 
+static void
+reject_part(config_builder_t *builder, const char *pointer, const char *name)
+{
+    char *shown_name = config_shown_name(name);
+    char *part_pointer = g_strdup_printf("%s/parts/%s", pointer, shown_name);
+    config_reject_entry(builder, part_pointer, "the name is too long");
+    g_free(part_pointer);
+    g_free(shown_name);
+}
+
+/*
+ * Returns the services of a route's parts, without those whose name is too
+ * long. A route that has no other part gets NULL, and is left out.
+ */
 static GArray *
 build_weighted_services(config_builder_t *builder, const json_t *entries,
                         const char *pointer)
@@ -104,20 +117,28 @@
     const char *name;
     json_t *weight;
     uint64_t total = 0;
+    uint64_t rejected_total = 0;
     json_object_foreach((json_t *)entries, name, weight) {
         json_int_t number = json_integer_value(weight);
-        if (!json_is_integer(weight) || number < 0 || number > WEIGHT_LIMIT ||
-            strlen(name) >= BV_NAME_BYTES) {
-            bv_findings_add(
-                builder->findings, builder->source, pointer,
-                "part \"%s\": name is too long, or weight is not 0 to %d",
-                name, WEIGHT_LIMIT);
+        if (!json_is_integer(weight) || number < 0 || number > WEIGHT_LIMIT) {
+            bv_findings_add(builder->findings, builder->source, pointer,
+                            "part \"%s\": weight is not 0 to %d", name,
+                            WEIGHT_LIMIT);
+            continue;
+        }
+        if (strlen(name) > BV_OPERATOR_NAME_LIMIT) {
+            reject_part(builder, pointer, name);
+            rejected_total += (uint64_t)number;
             continue;
         }
         bv_weighted_service_t share = {g_strdup(name), (uint32_t)number};
         g_array_append_val(services, share);
         total += share.weight;
     }
+    if (entries != NULL && total == 0 && rejected_total > 0) {
+        g_array_unref(services);
+        return NULL;
+    }
     if (entries != NULL && total == 0) {
         bv_findings_add(builder->findings, builder->source, pointer,
                         "at least one part needs a weight above 0");
@@ -125,6 +146,21 @@
     return services;
 }
 
+static void
+clear_fields(route_fields_t *fields)
+{
+    g_free(fields->method);
+    g_free(fields->host);
+    g_free(fields->prefix);
+}
+
+/* No host name that a caller can resolve is as long. */
+static bool
+is_host_too_long(const route_fields_t *fields)
+{
+    return fields->host != NULL && strlen(fields->host) > HOST_LIMIT_BYTES;
+}
+
 void
 config_build_route(config_builder_t *builder, const char *service,
                    const char *name, const json_t *entry, bv_mode_t mode,
@@ -144,11 +180,19 @@
         bv_findings_add(builder->findings, builder->source, pointer,
                         "only an idempotent route can be hedged");
     }
+    GArray *weighted_services =
+        build_weighted_services(builder, fields.parts, pointer);
+    if (is_host_too_long(&fields) || weighted_services == NULL) {
+        config_reject_entry(builder, pointer,
+                            "its host or its parts have too long names");
+        g_clear_pointer(&weighted_services, g_array_unref);
+        clear_fields(&fields);
+        return;
+    }
     bv_route_t *route = g_new0(bv_route_t, 1);
     route->name = g_strdup_printf("%s/%s", service, name);
     route->service = g_strdup(service);
-    route->weighted_services =
-        build_weighted_services(builder, fields.parts, pointer);
+    route->weighted_services = weighted_services;
     route->method = fields.method;
     route->host = fields.host;
     route->is_keyed = fields.keyed;
--- a/core/membership.c
+++ b/core/membership.c
@@ -295,7 +295,7 @@
     if (self->slots == slots && strcmp(self->service, service) == 0) {
         return;
     }
-    g_strlcpy(self->service, service, BV_NAME_BYTES);
+    g_strlcpy(self->service, service, BV_SERVICE_BYTES);
     self->slots = slots;
     membership_advance_self_version(membership);
     membership_ping_many(membership);
--- a/core/membership_spread.c
+++ b/core/membership_spread.c
@@ -10,8 +10,8 @@
  * generations in force.
  */
 #define ROTATION_RECORDS 2
-/* Packets in which the records of one bucket are sent. */
-#define SYNC_PACKETS_LIMIT 5
+/* Records of one bucket that are sent at once: 5 packets of short records. */
+#define SYNC_RECORDS_LIMIT 30
 
 typedef struct {
     uint64_t incarnation;
@@ -77,10 +77,72 @@
     return false;
 }
 
+/*
+ * Sizes in MessagePack, of which peer/gossip_codec.c makes packets. A record
+ * that is left out of a full packet must not count as sent, so the size is
+ * known before the packet is encoded.
+ */
+static size_t
+text_bytes(const char *text)
+{
+    size_t length = strlen(text);
+    return length + (length < 32 ? 1 : 2);
+}
+
+static size_t
+number_bytes(uint64_t number)
+{
+    if (number <= UINT8_MAX) {
+        return number < 128 ? 1 : 2;
+    }
+    return number <= UINT16_MAX ? 3 : number <= UINT32_MAX ? 5 : 9;
+}
+
+static size_t
+record_bytes(const bv_member_t *member)
+{
+    return 1 + text_bytes(member->name) + text_bytes(member->service) +
+           text_bytes(member->data_centre) + text_bytes(member->region) +
+           text_bytes(member->address) + number_bytes(member->peer_port) +
+           number_bytes(member->gossip_port) +
+           number_bytes(member->incarnation) + number_bytes(member->version) +
+           number_bytes(member->slots) + number_bytes(member->state) +
+           number_bytes(member->generation);
+}
+
+size_t
+bv_membership_packet_bytes(const bv_member_t *from,
+                           const bv_gossip_packet_t *packet)
+{
+    /* Both arrays, the packet and its records, have a header of one byte. */
+    size_t size =
+        1 + number_bytes(BV_GOSSIP_MAGIC) + number_bytes(packet->kind) +
+        number_bytes(packet->number) + number_bytes(packet->sequence) +
+        number_bytes(packet->generation) +
+        number_bytes(packet->config_digest) +
+        text_bytes(packet->probe_target) + number_bytes(packet->bucket) +
+        number_bytes(packet->bucket_digest) + record_bytes(from) + 1;
+    for (uint32_t i = 0; i < packet->record_count; i++) {
+        size += record_bytes(&packet->records[i]);
+    }
+    return size;
+}
+
+static bool
+has_room(const bv_membership_t *membership, const bv_gossip_packet_t *packet,
+         const bv_member_t *member)
+{
+    return packet->record_count < BV_GOSSIP_RECORDS_LIMIT &&
+           bv_membership_packet_bytes(&membership->self.member, packet) +
+                   record_bytes(member) <=
+               BV_GOSSIP_BYTES;
+}
+
 static void
-add_record(bv_gossip_packet_t *packet, entry_t *entry)
+add_record(const bv_membership_t *membership, bv_gossip_packet_t *packet,
+           entry_t *entry)
 {
-    if (packet->record_count == BV_GOSSIP_RECORDS_LIMIT ||
+    if (!has_room(membership, packet, &entry->member) ||
         holds_record(packet, &entry->member)) {
         return;
     }
@@ -99,7 +161,7 @@
     entry_t *entry = g_hash_table_lookup(membership->entries, to->name);
     if (entry != NULL && (entry->member.state == BV_MEMBER_SUSPECT ||
                           entry->member.state == BV_MEMBER_DEAD)) {
-        add_record(packet, entry);
+        add_record(membership, packet, entry);
     }
 }
 
@@ -134,7 +196,7 @@
         }
     }
     for (uint32_t i = 0; i < count; i++) {
-        add_record(packet, updates[i]);
+        add_record(membership, packet, updates[i]);
     }
 }
 
@@ -148,19 +210,25 @@
         entry_t *entry =
             membership->probe_order->pdata[membership->next_in_rotation];
         if (membership_is_present(entry)) {
-            add_record(packet, entry);
+            add_record(membership, packet, entry);
         }
     }
 }
 
+/* Fills in what all packets state; their size depends on it. */
 static void
-submit_packet(bv_membership_t *membership, const bv_member_t *to,
-              bv_gossip_packet_t *packet)
+begin_packet(bv_membership_t *membership, bv_gossip_packet_t *packet)
 {
-    const bv_membership_options_t *options = &membership->options;
     packet->number = ++membership->packet_number;
     packet->generation = membership->self.member.generation;
     packet->config_digest = membership->config_digest;
+}
+
+static void
+submit_packet(const bv_membership_t *membership, const bv_member_t *to,
+              const bv_gossip_packet_t *packet)
+{
+    const bv_membership_options_t *options = &membership->options;
     options->ops->send(options->context, to, packet);
 }
 
@@ -176,6 +244,7 @@
     if (target != NULL) {
         g_strlcpy(packet.probe_target, target, BV_NAME_BYTES);
     }
+    begin_packet(membership, &packet);
     add_receiver_record(membership, to, &packet);
     add_updates(membership, &packet);
     add_rotation(membership, &packet);
@@ -195,21 +264,21 @@
     }
     membership->next_sync_us = now_us + membership->options.probe_interval_us;
     bv_gossip_packet_t packet = {.kind = BV_GOSSIP_SYNC, .bucket = bucket};
-    uint32_t packets = 0;
+    uint32_t records = 0;
+    begin_packet(membership, &packet);
     for (guint i = 0; i < membership->probe_order->len; i++) {
-        entry_t *entry = membership->probe_order->pdata[i];
-        if (entry->bucket != bucket || packets == SYNC_PACKETS_LIMIT) {
+        const entry_t *entry = membership->probe_order->pdata[i];
+        if (entry->bucket != bucket || records == SYNC_RECORDS_LIMIT) {
             continue;
         }
-        packet.records[packet.record_count++] = entry->member;
-        if (packet.record_count == BV_GOSSIP_RECORDS_LIMIT) {
+        if (!has_room(membership, &packet, &entry->member)) {
             submit_packet(membership, to, &packet);
             packet.record_count = 0;
-            packets++;
+            begin_packet(membership, &packet);
         }
+        packet.records[packet.record_count++] = entry->member;
+        records++;
     }
-    if (packet.record_count > 0 || packets == 0) {
-        submit_packet(membership, to, &packet);
-    }
+    submit_packet(membership, to, &packet);
     return true;
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -73,6 +73,8 @@
       "requests for the body of a configuration")                             \
     X(CONFIG_ADOPTED, "config_adopted", "configurations put in force")        \
     X(CONFIG_REJECTED, "config_rejected", "configurations not adopted")       \
+    X(CONFIG_INCOMPLETE, "config_incomplete",                                 \
+      "configurations put in force without some of their entries")            \
     X(CONFIG_CONFLICTS, "config_conflicts", "two digests of one generation")  \
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
--- a/include/berylvane/core/announcement.h
+++ b/include/berylvane/core/announcement.h
@@ -22,7 +22,7 @@
 typedef struct {
     /* Name of the target's incarnation; empty if the target sends none. */
     char instance[BV_INSTANCE_BYTES];
-    char service[BV_NAME_BYTES];
+    char service[BV_SERVICE_BYTES];
     char address[BV_ADDRESS_BYTES];
     uint16_t port;
     /* Calls that the target can run at the same time. */
--- a/include/berylvane/core/membership.h
+++ b/include/berylvane/core/membership.h
@@ -26,7 +26,7 @@
 
 typedef struct {
     char name[BV_NAME_BYTES];
-    char service[BV_NAME_BYTES];
+    char service[BV_SERVICE_BYTES];
     char data_centre[BV_NAME_BYTES];
     char region[BV_NAME_BYTES];
     char address[BV_ADDRESS_BYTES];
@@ -51,6 +51,8 @@
     BV_GOSSIP_SYNC,
 } bv_gossip_kind_t;
 
+/* Limits of a packet; records that would exceed its size are not added. */
+#define BV_GOSSIP_BYTES 1024
 #define BV_GOSSIP_RECORDS_LIMIT 6
 #define BV_GOSSIP_BUCKETS 64
 
@@ -192,6 +194,13 @@
                                          const bv_member_t *member),
                            void *context);
 
+/* First field of every encoded packet. */
+#define BV_GOSSIP_MAGIC 0xb2
+
+/* Returns the size of an encoded packet of the member `from`. */
+size_t bv_membership_packet_bytes(const bv_member_t *from,
+                                  const bv_gossip_packet_t *packet);
+
 const char *bv_member_state_name(bv_member_state_t state);
 
 /* Parses a state's name; returns false if no state has this name. */
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -175,7 +175,6 @@
  * length. Leaves out the last records if the packet would exceed
  * BV_GOSSIP_BYTES.
  */
-#define BV_GOSSIP_BYTES 1024
 size_t bv_gossip_encode(const bv_member_t *from,
                         const bv_gossip_packet_t *packet,
                         uint8_t out[BV_GOSSIP_BYTES]);
--- a/node/configs.c
+++ b/node/configs.c
@@ -84,6 +84,20 @@
            NULL);
 }
 
+/* The log line of all entries of one configuration that were left out. */
+static void
+report_left_out_entries(const bv_findings_t *findings, uint64_t generation)
+{
+    if (bv_findings_is_empty(findings)) {
+        return;
+    }
+    char *problems = bv_findings_to_string(findings);
+    bv_counter_add(BV_COUNT_CONFIG_INCOMPLETE, 1);
+    bv_log(BV_LOG_ERROR, "config_entries_left_out", "generation",
+           BV_NUM((gint64)generation), "findings", problems, NULL);
+    g_free(problems);
+}
+
 static bool
 build_and_adopt(bv_node_t *node, const json_t *bundle,
                 const bv_config_version_t *version, GBytes *body)
@@ -93,6 +107,7 @@
         bv_config_build(bundle, node->settings->data_centre,
                         version->generation, "bundle", findings);
     if (config != NULL) {
+        report_left_out_entries(findings, version->generation);
         apply_config(node, config, version, body);
     }
     else {
--- a/node/member_row.c
+++ b/node/member_row.c
@@ -67,7 +67,7 @@
     {.name = "service",
      .kind = BV_FIELD_STRING,
      .offset = offsetof(row_t, service),
-     .maximum = BV_NAME_BYTES - 1},
+     .maximum = BV_OPERATOR_NAME_LIMIT},
     TEXT("data_centre", data_centre, BV_NAME_BYTES - 1),
     TEXT("region", region, BV_NAME_BYTES - 1),
     TEXT("address", address, BV_ADDRESS_BYTES - 1),
@@ -128,7 +128,7 @@
                    !is_too_far_ahead(row.incarnation);
         g_strlcpy(member->name, row.name, BV_NAME_BYTES);
         g_strlcpy(member->service, row.service != NULL ? row.service : "",
-                  BV_NAME_BYTES);
+                  BV_SERVICE_BYTES);
         g_strlcpy(member->data_centre, row.data_centre, BV_NAME_BYTES);
         g_strlcpy(member->region, row.region, BV_NAME_BYTES);
         g_strlcpy(member->address, row.address, BV_ADDRESS_BYTES);
--- a/node/own_dialect.c
+++ b/node/own_dialect.c
@@ -16,7 +16,7 @@
      .kind = BV_FIELD_STRING,
      .offset = offsetof(announcement_body_t, service),
      .required = true,
-     .maximum = BV_NAME_BYTES - 1},
+     .maximum = BV_OPERATOR_NAME_LIMIT},
     {.name = "port",
      .kind = BV_FIELD_INTEGER,
      .offset = offsetof(announcement_body_t, port),
@@ -43,7 +43,7 @@
     bv_fields_read(root, body_fields, &body, "announcement", "", findings);
     bool is_valid = bv_findings_is_empty(findings);
     if (is_valid) {
-        g_strlcpy(announcement->service, body.service, BV_NAME_BYTES);
+        g_strlcpy(announcement->service, body.service, BV_SERVICE_BYTES);
         g_strlcpy(announcement->address, TARGET_ADDRESS, BV_ADDRESS_BYTES);
         announcement->port = (uint16_t)body.port;
         announcement->slots = (uint32_t)body.slots;
--- a/peer/gossip_codec.c
+++ b/peer/gossip_codec.c
@@ -3,8 +3,6 @@
 
 #include <string.h>
 
-/* First field of every packet. */
-#define GOSSIP_MAGIC 0xb2
 #define RECORD_FIELD_COUNT 12
 #define PACKET_FIELD_COUNT 11
 
@@ -32,7 +30,7 @@
     bv_unpack_t record = bv_unpack_array(unpack);
     memset(member, 0, sizeof(*member));
     bv_unpack_name(&record, member->name, BV_NAME_BYTES);
-    bv_unpack_name(&record, member->service, BV_NAME_BYTES);
+    bv_unpack_name(&record, member->service, BV_SERVICE_BYTES);
     bv_unpack_name(&record, member->data_centre, BV_NAME_BYTES);
     bv_unpack_name(&record, member->region, BV_NAME_BYTES);
     bv_unpack_name(&record, member->address, BV_ADDRESS_BYTES);
@@ -60,7 +58,7 @@
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
     msgpack_pack_array(&packer, PACKET_FIELD_COUNT);
-    msgpack_pack_uint64(&packer, GOSSIP_MAGIC);
+    msgpack_pack_uint64(&packer, BV_GOSSIP_MAGIC);
     msgpack_pack_uint64(&packer, packet->kind);
     msgpack_pack_uint64(&packer, packet->number);
     msgpack_pack_uint64(&packer, packet->sequence);
@@ -105,7 +103,7 @@
         return false;
     }
     bv_unpack_t unpack = {.array = &root->via.array};
-    if (bv_unpack_number(&unpack, UINT64_MAX) != GOSSIP_MAGIC) {
+    if (bv_unpack_number(&unpack, UINT64_MAX) != BV_GOSSIP_MAGIC) {
         return false;
     }
     packet->kind = (bv_gossip_kind_t)bv_unpack_number(&unpack, BV_GOSSIP_SYNC);
--- a/tests/test_heartbeat_values.c
+++ b/tests/test_heartbeat_values.c
@@ -192,6 +192,8 @@
     NUMBER_CASES(NULL, "born"),
     {INFO, "Slots", "0", false},
     {INFO, "Version", LONG_200 "a\"", true},
+    {INFO, "Service", LONG_200 "a\"", true},
+    {INFO, "Service", LONG_200 "ab\"", false},
     {STATUS, "State", "\"asleep\"", false},
     {STATUS, "State", "\"Ready\"", false},
     {STATUS, "State", "\"draining\"", true},
--- a/tests/test_member_row.c
+++ b/tests/test_member_row.c
@@ -10,12 +10,20 @@
     uint32_t slots;
 } round_trip_case_t;
 
+#define LONG_100                                                              \
+    "01234567890123456789012345678901234567890123456789"                      \
+    "01234567890123456789012345678901234567890123456789"
+
 /*
  * A row without a service or with no slots is valid: a node also writes its
  * row before its target has sent an announcement.
  */
 static const round_trip_case_t round_trip_cases[] = {
-    {"orders", 8}, {"orders", 0}, {"", 0}};
+    {"orders", 8},
+    {"orders", 0},
+    {"", 0},
+    {LONG_100 LONG_100, 8},
+};
 
 /*
  * Guards against fields that are lost or changed between writing and reading a
@@ -35,7 +43,7 @@
         .incarnation = 5,
         .slots = test_case->slots,
     };
-    g_strlcpy(member.service, test_case->service, BV_NAME_BYTES);
+    g_strlcpy(member.service, test_case->service, BV_SERVICE_BYTES);
     json_t *value = bv_member_row_render(&member);
     ck_assert(bv_member_row_parse(value, &parsed));
     ck_assert_str_eq(parsed.name, member.name);
@@ -48,7 +56,23 @@
 }
 END_TEST
 
+/* A row that is valid but for one part, which `extra` may follow. */
+#define ROW(name, incarnation, extra)                                         \
+    "{\"name\":\"" name "\",\"data_centre\":\"m1\",\"region\":\"r\","         \
+    "\"address\":\"10.0.0.1\",\"peer_port\":1,\"gossip_port\":2,"             \
+    "\"incarnation\":" incarnation ",\"version\":0,\"slots\":1,"              \
+    "\"state\":\"alive\",\"generation\":0" extra "}"
+
 static const char *const invalid_rows[] = {
+    ROW("a", "99999999999999999999", ""),
+    ROW("a", "1e999", ""),
+    ROW("a", "NaN", ""),
+    ROW("a\xff", "5", ""),
+    ROW("a\xed\xa0\x80", "5", ""),
+    ROW("a\\u0000", "5", ""),
+    ROW("a", "5", ",\"other\":[[[[1]]]]"),
+    ROW("a", "5", ",\"slots\":2"),
+    ROW("a", "5", "}"),
     "{}",
     "7",
     "{\"name\":\"a\"}",
@@ -59,7 +83,11 @@
 START_TEST(test_invalid_rows)
 {
     bv_member_t parsed;
-    json_t *value = json_loads(invalid_rows[_i], JSON_DECODE_ANY, NULL);
+    json_t *valid = json_loads(ROW("a", "5", ""), 0, NULL);
+    ck_assert(bv_member_row_parse(valid, &parsed));
+    json_decref(valid);
+    json_t *value = json_loads(invalid_rows[_i],
+                               JSON_DECODE_ANY | JSON_REJECT_DUPLICATES, NULL);
     ck_assert(!bv_member_row_parse(value, &parsed));
     json_decref(value);
 }
@@ -82,7 +110,18 @@
     {"name", "\"\"", false},
     {"name", "\"0123456789012345678901234567890123456789\"", false},
     {"name", "7", false},
+    {"name", "[\"n-1\"]", false},
+    {"name", "{\"n-1\":1}", false},
+    {"name", "null", false},
+    {"service", "\"" LONG_100 LONG_100 "\"", true},
+    {"service", "\"" LONG_100 LONG_100 "0\"", false},
+    {"service", "\"\"", false},
+    {"service", "7", false},
+    {"service", "{}", false},
+    {"data_centre", "\"0123456789012345678901234567890123456789\"", false},
+    {"region", "[]", false},
     {"address", "\"10.0.0.1\"", true},
+    {"address", "[\"10.0.0.1\"]", false},
     {"address", "\"some.host.example\"", false},
     {"address", "\"10.0.0.999\"", false},
     {"address", "\"10.0.0.1;127.0.0.1\"", false},
@@ -105,6 +144,9 @@
     {"version", "1.5", false},
     {"slots", "4294967295", false},
     {"slots", "-1", false},
+    {"slots", "\"4\"", false},
+    {"slots", "[4]", false},
+    {"slots", "null", false},
     {"state", "\"draining\"", true},
     {"state", "\"suspect\"", false},
     {"state", "\"left\"", false},
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -1,7 +1,9 @@
+#include "berylvane/peer/message.h"
 #include "member_cluster.h"
 #include "support.h"
 
 #include <stdio.h>
+#include <string.h>
 
 /*
  * Runs a simulated cluster through loss, delays, duplicates, partitions,
@@ -396,6 +398,98 @@
 }
 END_TEST
 
+/* Counts the records that arrive, by name, as they are encoded and decoded. */
+static void
+collect_records(void *context, const bv_member_t *to,
+                const bv_gossip_packet_t *packet)
+{
+    static const bv_member_t from = {.name = "s", .incarnation = 1};
+    uint8_t bytes[BV_GOSSIP_BYTES];
+    bv_member_t decoded_from;
+    bv_gossip_packet_t decoded;
+    (void)to;
+    size_t size = bv_gossip_encode(&from, packet, bytes);
+    ck_assert(bv_gossip_decode(bytes, size, &decoded_from, &decoded));
+    for (uint32_t i = 0; i < decoded.record_count; i++) {
+        g_hash_table_add(context, g_strdup(decoded.records[i].name));
+    }
+}
+
+static void
+ignore_change(void *context, const bv_member_t *member)
+{
+    (void)context;
+    (void)member;
+}
+
+static void
+ignore_version(void *context, uint64_t generation, uint64_t digest,
+               const char *member)
+{
+    (void)context;
+    (void)generation;
+    (void)digest;
+    (void)member;
+}
+
+/* Fills a text of `size` bytes with its NUL, which begins with a number. */
+static void
+fill_text(char *text, size_t size, guint number)
+{
+    memset(text, 'x', size - 1);
+    g_snprintf(text, size, "%u", number);
+    text[strlen(text)] = 'x';
+    text[size - 1] = '\0';
+}
+
+#define SYNC_MEMBERS 640
+
+/*
+ * Guards against records with long names that are left out of each packet and
+ * so never reach a node that missed them: where the digests of a bucket
+ * differ, all of its records must be sent.
+ */
+START_TEST(test_sync_of_long_names)
+{
+    static const bv_membership_ops_t ops = {
+        .send = collect_records,
+        .member_changed = ignore_change,
+        .config_reported = ignore_version,
+    };
+    GHashTable *received =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    bv_membership_options_t options = {
+        .self = {.name = "s", .incarnation = 1},
+        .probe_interval_us = 1,
+        .members_limit = 2 * SYNC_MEMBERS,
+        .random = g_rand_new_with_seed(1),
+        .ops = &ops,
+        .context = received,
+    };
+    bv_membership_t *membership = bv_membership_create(&options);
+    for (guint i = 0; i < SYNC_MEMBERS; i++) {
+        bv_member_t member = {.incarnation = 1ULL << 40, .slots = 1};
+        fill_text(member.name, sizeof(member.name), i);
+        fill_text(member.service, sizeof(member.service), i);
+        fill_text(member.data_centre, sizeof(member.data_centre), i);
+        fill_text(member.region, sizeof(member.region), i);
+        bv_membership_merge_record(membership, 1, &member);
+    }
+    bv_member_t from = {.name = "peer", .incarnation = 1};
+    for (uint32_t bucket = 0; bucket < BV_GOSSIP_BUCKETS; bucket++) {
+        bv_gossip_packet_t packet = {
+            .kind = BV_GOSSIP_ACK, .number = bucket + 1, .bucket = bucket};
+        bv_membership_handle_packet(membership, 10 * (bucket + 1), &from,
+                                    &packet);
+    }
+    g_hash_table_remove(received, "peer");
+    ck_assert_uint_eq(g_hash_table_size(received), SYNC_MEMBERS);
+    bv_membership_destroy(membership);
+    g_rand_free(options.random);
+    g_hash_table_unref(received);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -407,6 +501,7 @@
         {"restart_without_store", test_restart_without_store, 1},
         {"missed_changes", test_updates_missed_while_unreachable, 1},
         {"replay", test_replay, 1},
+        {"sync_of_long_names", test_sync_of_long_names, 1},
         {"newer", test_record_order, G_N_ELEMENTS(order_cases)},
         {"random", test_random_faults, 3},
         {NULL}};
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -62,12 +62,111 @@
 }
 END_TEST
 
+static bv_member_t
+make_member(const char *name, const char *service)
+{
+    bv_member_t member = {
+        .data_centre = "m1",
+        .region = "midlands",
+        .address = "10.0.0.1",
+        .peer_port = 7000,
+        .gossip_port = 7001,
+        .incarnation = 5,
+        .version = 200,
+        .slots = 8,
+        .generation = 70000,
+    };
+    g_strlcpy(member.name, name, sizeof(member.name));
+    g_strlcpy(member.service, service, sizeof(member.service));
+    return member;
+}
+
+/*
+ * Guards against gossip that nodes of other versions cannot read: a packet
+ * with names of ordinary length must stay byte for byte as it was.
+ */
+START_TEST(test_gossip_bytes)
+{
+    static const char expected[] =
+        "9bccb20003cd012cce00011170cf1122334455667788a009019ca36e2d31a66f72"
+        "64657273a26d31a86d69646c616e6473a831302e302e302e31cd1b58cd1b5905cc"
+        "c80800ce00011170919ca36e2d32bf303132333435363738393031323334353637"
+        "38393031323334353637383930a26d31a86d69646c616e6473a831302e302e302e"
+        "31cd1b58cd1b5905ccc80802ce00011170";
+    bv_member_t from = make_member("n-1", "orders");
+    bv_gossip_packet_t packet = {
+        .kind = BV_GOSSIP_PING,
+        .number = 3,
+        .sequence = 300,
+        .generation = 70000,
+        .config_digest = 0x1122334455667788,
+        .bucket = 9,
+        .bucket_digest = 1,
+        .record_count = 1,
+        .records = {make_member("n-2", "0123456789012345678901234567890")},
+    };
+    packet.records[0].state = BV_MEMBER_DRAINING;
+    uint8_t out[BV_GOSSIP_BYTES];
+    char text[2 * BV_GOSSIP_BYTES + 1];
+    size_t size = bv_gossip_encode(&from, &packet, out);
+    bv_hex_write(text, out, size);
+    ck_assert_str_eq(text, expected);
+}
+END_TEST
+
+/* Sizes at which the encoding of a text or a number changes. */
+static const size_t service_lengths[] = {0, 1, 31, 32, 199, 200};
+static const uint64_t numbers[] = {
+    0, 127, 128, 255, 256, 65535, 65536, 4294967295, 4294967296, UINT64_MAX};
+
+/*
+ * Guards against a service name that arrives cut, and against a size computed
+ * in advance that differs from that of the encoded packet, by which records
+ * would be left out and still count as sent.
+ */
+START_TEST(test_gossip_sizes)
+{
+    char service[BV_SERVICE_BYTES] = "";
+    memset(service, 's', service_lengths[_i]);
+    bv_member_t from = make_member("n-1", service);
+    bv_member_t decoded_from;
+    bv_gossip_packet_t decoded;
+    uint8_t out[BV_GOSSIP_BYTES];
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        bv_gossip_packet_t packet = {
+            .kind = BV_GOSSIP_ACK,
+            .number = numbers[i],
+            .sequence = numbers[G_N_ELEMENTS(numbers) - 1 - i],
+            .generation = numbers[i],
+            .config_digest = numbers[i],
+            .bucket = BV_GOSSIP_BUCKETS - 1,
+            .bucket_digest = numbers[i],
+            .record_count = 2,
+            .records = {from, from},
+        };
+        packet.records[0].version = (uint32_t)numbers[i];
+        packet.records[0].peer_port = (uint16_t)numbers[i];
+        packet.records[1].incarnation = numbers[i];
+        size_t size = bv_gossip_encode(&from, &packet, out);
+        ck_assert_uint_eq(size, bv_membership_packet_bytes(&from, &packet));
+        ck_assert(bv_gossip_decode(out, size, &decoded_from, &decoded));
+        ck_assert_str_eq(decoded_from.service, service);
+        ck_assert_uint_eq(decoded.record_count, 2);
+        ck_assert_str_eq(decoded.records[1].service, service);
+        ck_assert_uint_eq(decoded.records[1].incarnation, numbers[i]);
+    }
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     support_parse_arguments(argc, argv);
-    const support_test_t tests[] = {{"round_trip", test_round_trip, 1},
-                                    {"damaged", test_damaged, 1},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"round_trip", test_round_trip, 1},
+        {"gossip_bytes", test_gossip_bytes, 1},
+        {"gossip_sizes", test_gossip_sizes, G_N_ELEMENTS(service_lengths)},
+        {"damaged", test_damaged, 1},
+        {NULL}};
     return support_run("message", tests);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -247,11 +247,24 @@
     ",\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":[{\"Name\":"    \
     "\"one\",\"Type\":\"safe\"," extra "}]}]}"
 
+#define LONG_100                                                              \
+    "01234567890123456789012345678901234567890123456789"                      \
+    "01234567890123456789012345678901234567890123456789"
+
 static const config_case_t config_cases[] = {
     {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"a\""), NULL},
     {ROUTE("\"Prefix\":\"/x/\",\"WeightedServices\":[{\"Service\":\"a\","
            "\"Weight\":9},{\"Service\":\"b\",\"Weight\":1}]"),
      NULL},
+    /* Names of 32 bytes and more, and prefixes of more than 256. */
+    {"{\"Version\":\"r7\",\"Services\":[{\"Name\":\"a\"},{\"Name\":\"" LONG_100
+         LONG_100
+     "\"}],\"VirtualHosts\":[{\"Hostname\":\"h.example\",\"Paths\":["
+     "{\"Name\":\"" LONG_100 "\",\"Type\":\"safe\",\"Prefix\":\"/x/\","
+     "\"Service\":\"" LONG_100 LONG_100
+     "\"},{\"Name\":\"two\",\"Type\":\"safe\","
+     "\"Prefix\":\"/" LONG_100 LONG_100 LONG_100 "/\",\"Service\":\"a\"}]}]}",
+     NULL},
     {ROUTE("\"Prefix\":\"/x\",\"Service\":\"a\""), "prefix"},
     {ROUTE("\"Prefix\":\"x/\",\"Service\":\"a\""), "prefix"},
     {ROUTE("\"Prefix\":\"/x/\",\"Service\":\"c\""), "service"},
