Answer calls that never reached a target as not run at the drain limit

Callers got 504, which promises nothing, for calls that had only waited in the queue of a node when it stopped at its drain limit: all open calls were answered as unknown without a look at their attempts. Work that other nodes had dispatched got no answer at all, and their callers 504 at their deadlines.

At the limit the node now refuses its queued work as not run, handles its own refusals, and starts no further attempt; a call whose attempts have all provably not run is answered 503. What the target or another node holds stays unknown.

--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -75,6 +75,8 @@
     /* Readiness probes denied during the drain, and time of the last one. */
     uint32_t readiness_refusals;
     int64_t last_refusal_us;
+    /* Calls were still open at the limit: no attempt is started any more. */
+    bool is_cut_short;
 } bv_drain_t;
 
 /*
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -69,6 +69,10 @@
     bv_node_t *node = context;
     bv_call_state_t *state = bv_request_call(request);
     bv_picked_t chosen;
+    if (node->drain.is_cut_short) {
+        *reason = BV_REASON_DRAINING;
+        return false;
+    }
     if (!bv_routing_choose_member(node, state, &chosen, reason)) {
         return false;
     }
--- a/node/drain.c
+++ b/node/drain.c
@@ -81,6 +81,21 @@
            node->settings->drain_limit_ms * BV_US_PER_MS;
 }
 
+/*
+ * Ends the calls that are open at the limit. Work that waits at this node is
+ * refused first, so that its callers, here and on other nodes, are told that
+ * it has not run; the outcome of the rest is unknown.
+ */
+static void
+end_open_calls(bv_node_t *node)
+{
+    node->drain.is_cut_short = true;
+    bv_members_configure_admission(node);
+    bv_serve_tick(node);
+    bv_loop_run_events(node);
+    bv_calls_answer_unknown(node);
+}
+
 static void
 enter_linger(bv_node_t *node)
 {
@@ -88,7 +103,7 @@
         bv_log(BV_LOG_WARN, "drain_limit", "calls",
                BV_NUM(bv_calls_count(node)), "served",
                BV_NUM(bv_serve_count(node)), NULL);
-        bv_calls_answer_unknown(node);
+        end_open_calls(node);
     }
     enter_phase(node, BV_DRAIN_LINGER);
     bv_membership_set_self_state(node->membership, BV_MEMBER_LEFT);
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -17,6 +17,7 @@
 #define LONG_AGO_MS G_GINT64_CONSTANT(9)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define RENDEZVOUS_DEFAULT_MS 120000
+#define DRAIN_LIMIT_DEFAULT_MS 120000
 #define GOSSIP_KEY                                                            \
     "0000000000000000000000000000000000000000000000000000000000000000"
 
@@ -230,12 +231,15 @@
         "\"127.0.0.1:%u\",\"operators\":\"127.0.0.1:%u\",\"peer_port\":%u,"
         "\"gossip_port\":%u,\"platform_url\":\"http://127.0.0.1:%u\","
         "\"gossip_key\":\"" GOSSIP_KEY "\",\"probe_interval_ms\":200,"
-        "\"drain_notice_ms\":200,\"rendezvous_ms\":%u,\"log_level\":"
+        "\"drain_notice_ms\":200,\"drain_limit_ms\":%u,\"rendezvous_ms\":%u,"
+        "\"log_level\":"
         "\"error\"}",
         node_index, node->service, node->ports[PLATFORM_PORT_OUTBOUND],
         node->ports[PLATFORM_PORT_CONTROL], node->ports[PLATFORM_PORT_READY],
         node->ports[PLATFORM_PORT_OPERATORS], node->ports[PLATFORM_PORT_PEER],
         node->ports[PLATFORM_PORT_GOSSIP], fixture->store_port,
+        fixture->drain_limit_ms != 0 ? fixture->drain_limit_ms
+                                     : DRAIN_LIMIT_DEFAULT_MS,
         fixture->rendezvous_ms != 0 ? fixture->rendezvous_ms
                                     : RENDEZVOUS_DEFAULT_MS);
     ck_assert(g_file_set_contents(path, text, -1, NULL));
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -70,6 +70,8 @@
     char *directory;
     /* Period of the nodes' rendezvous; 0 selects the default. */
     uint32_t rendezvous_ms;
+    /* Drain limit of the nodes; 0 selects the default. */
+    uint32_t drain_limit_ms;
 } platform_fixture_t;
 
 void platform_start_store(platform_fixture_t *fixture);
--- a/tests/e2e/test_target_drain.c
+++ b/tests/e2e/test_target_drain.c
@@ -3,6 +3,7 @@
 #include "berylvane/common/program.h"
 
 #include <jansson.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -65,27 +66,35 @@
     return GUINT_TO_POINTER(status);
 }
 
-/* Returns how many of the calls were answered with success. */
+/*
+ * Returns how many of the calls were answered with `status`; the others must
+ * have been refused as not run.
+ */
 static uint32_t
-join_calls(GThread *const threads[CALLS])
+join_calls(GThread *const threads[CALLS], guint status)
 {
-    uint32_t successes = 0;
+    uint32_t count = 0;
+    uint32_t refused = 0;
     for (size_t i = 0; i < CALLS; i++) {
-        guint status = GPOINTER_TO_UINT(g_thread_join(threads[i]));
-        ck_assert_msg(status == 200 || status == 503, "status %u", status);
-        successes += status == 200;
+        guint answered = GPOINTER_TO_UINT(g_thread_join(threads[i]));
+        count += answered == status;
+        refused += answered == 503;
     }
-    return successes;
+    ck_assert_uint_eq(count + refused, CALLS);
+    return count;
 }
 
 static void
-wait_until_queued(const platform_node_t *back)
+wait_until_queued(size_t node_index)
 {
+    const platform_node_t *back = &fixture.nodes[node_index];
     int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
-    while (queued_work(1) == 0 ||
-           g_atomic_int_get(&back->arrived) + queued_work(1) < CALLS) {
+    while (queued_work(node_index) == 0 ||
+           g_atomic_int_get(&back->arrived) + queued_work(node_index) <
+               CALLS) {
         ck_assert(bv_clock_now_us() < end_us);
-        ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "ready"), 200);
+        ck_assert_uint_eq(platform_heartbeat(&fixture, node_index, "ready"),
+                          200);
         usleep(POLL_US);
     }
 }
@@ -108,11 +117,11 @@
     for (size_t i = 0; i < CALLS; i++) {
         threads[i] = g_thread_new("call", run_call, body);
     }
-    wait_until_queued(back);
+    wait_until_queued(1);
     uint32_t running = (uint32_t)g_atomic_int_get(&back->arrived);
     ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "draining"), 200);
     platform_release_calls(back);
-    ck_assert_uint_eq(join_calls(threads), running);
+    ck_assert_uint_eq(join_calls(threads, 200), running);
     ck_assert_int_eq(g_atomic_int_get(&back->arrived), (int)running);
     platform_wait_for_status(&fixture, 0, "/a/1", 200);
     platform_stop(&fixture);
@@ -121,6 +130,41 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that promises nothing (504) for a call that waited
+ * at its node and never reached the target, when the node stops at its limit.
+ * Only the calls that the target holds have an unknown outcome.
+ */
+START_TEST(test_queue_of_a_stopped_node)
+{
+    apr_pool_t *pool = bv_program_start();
+    platform_node_t *back = &fixture.nodes[0];
+    GThread *threads[CALLS];
+    GBytes *body = g_bytes_new_static("order", 5);
+    memset(&fixture, 0, sizeof(fixture));
+    fixture.drain_limit_ms = 1000;
+    platform_start_store(&fixture);
+    platform_start_node(&fixture, "back");
+    platform_wait_for_store(&fixture);
+    platform_write_row(&fixture, "op", "config", CONFIG);
+    platform_wait_for_status(&fixture, 0, "/a/1", 200);
+    g_atomic_int_set(&back->arrived, 0);
+    g_atomic_int_set(&back->mode, PLATFORM_TARGET_HOLD);
+    for (size_t i = 0; i < CALLS; i++) {
+        threads[i] = g_thread_new("call", run_call, body);
+    }
+    wait_until_queued(0);
+    uint32_t running = (uint32_t)g_atomic_int_get(&back->arrived);
+    kill(back->pid, SIGTERM);
+    ck_assert_uint_eq(join_calls(threads, 504), running);
+    ck_assert_int_eq(g_atomic_int_get(&back->arrived), (int)running);
+    platform_release_calls(back);
+    platform_stop(&fixture);
+    g_bytes_unref(body);
+    bv_program_stop(pool);
+}
+END_TEST
+
 /*
  * Guards against requests that reach a target after it left, because the node
  * beside it had restarted, heard of the departure first and of an earlier
@@ -160,6 +204,7 @@
 {
     const support_test_t tests[] = {
         {"queue_of_a_draining_target", test_queue_of_a_draining_target, 1},
+        {"queue_of_a_stopped_node", test_queue_of_a_stopped_node, 1},
         {"departure_heard_first", test_departure_heard_first, 1},
         {NULL}};
     atexit(kill_remaining);
