--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -28,6 +28,7 @@
     X(SESSION_STALE, "session_stale", "dispatches refused as stale")          \
     X(SHED, "shed", "work refused by admission")                              \
     X(SHED_CRITICAL, "shed_critical", "critical work refused by admission")   \
+    X(TARGET_DRAINED, "target_drained", "queued work its target left")        \
     X(SHED_EARLY, "shed_early", "calls refused for the services below")       \
     X(OBSERVED_SHED, "observed_shed", "observed work not refused or queued")  \
     X(OBSERVED_RETRIES, "observed_retries", "observed retries not made")      \
@@ -50,6 +51,8 @@
     X(PROGRESS_ASKED, "progress_asked", "silent peer connections asked")      \
     X(PROGRESS_REPLACED, "progress_replaced", "sessions left for silence")    \
     X(RING_FULL, "ring_full", "refusals because a ring was full")             \
+    X(ANNOUNCEMENTS_BAD, "announcements_bad",                                 \
+      "heartbeats refused as invalid")                                        \
     X(PEER_BAD, "peer_bad", "peer messages that were not understood")         \
     X(PEER_SENT, "peer_sent", "messages sent to peers")                       \
     X(PEER_RECEIVED, "peer_received", "messages received from peers")         \
@@ -71,6 +74,8 @@
       "requests for the body of a configuration")                             \
     X(CONFIG_ADOPTED, "config_adopted", "configurations put in force")        \
     X(CONFIG_REJECTED, "config_rejected", "configurations not adopted")       \
+    X(CONFIG_INCOMPLETE, "config_incomplete",                                 \
+      "configurations put in force without some of their entries")            \
     X(CONFIG_CONFLICTS, "config_conflicts", "two digests of one generation")  \
     X(ACCESS_DENIED, "access_denied", "calls refused with 401")               \
     X(ACCESS_HELD, "access_held", "calls held for a newer configuration")     \
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -11,6 +11,7 @@
 #include "berylvane/core/config_fetcher.h"
 #include "berylvane/core/config_watch.h"
 #include "berylvane/core/credit.h"
+#include "berylvane/core/local_target.h"
 #include "berylvane/core/log_budget.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/outgoing_sessions.h"
@@ -58,17 +59,6 @@
     void *data;
 } bv_event_t;
 
-/* State of the local target, the service instance beside this node. */
-typedef struct {
-    /* The newest announcement of the target. */
-    bv_announcement_t last_announcement;
-    /* An announcement arrived recently; cleared when announcements cease. */
-    bool announced;
-    /* A connection to the target failed after its last announcement. */
-    bool unreachable;
-    int64_t announced_us;
-} bv_local_target_t;
-
 /* Phases of a drain, in order. */
 typedef enum {
     BV_DRAIN_NONE,
@@ -91,6 +81,8 @@
     /* Readiness probes denied during the drain, and time of the last one. */
     uint32_t readiness_refusals;
     int64_t last_refusal_us;
+    /* Calls were still open at the limit: no attempt is started any more. */
+    bool is_cut_short;
 } bv_drain_t;
 
 /*
@@ -362,7 +354,10 @@
 
 /*
  * Marks the sender of `answer` as draining. The answer refused work because of
- * a drain, and its sender is the authority on its own state.
+ * a drain of the node, and its sender is the authority on its own state. A
+ * drain of the target alone, whose answers have the served state
+ * BV_SERVED_QUEUED, does not count: the node serves again with its next
+ * target, but a member that is marked as draining never returns.
  */
 void bv_members_mark_draining(bv_node_t *node,
                               const bv_peer_message_t *answer);
@@ -372,6 +367,8 @@
  * work.
  */
 
+void bv_target_create(bv_node_t *node);
+
 /* Applies an announcement and replies to `call`, which frees `call`. */
 void bv_target_handle_announcement(bv_node_t *node, bv_call_t *call);
 bool bv_target_is_usable(const bv_node_t *node);
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -72,7 +72,8 @@
  * - DISPATCH: session, attempt, request_id to remaining_us, digest, method,
  *   host, path, headers, idempotency_key, customer, label, traceparent, body
  * - ANSWER: attempt, credit, outcome, reason, status, threshold, wait_us,
- *   digest, headers, body
+ *   served_state (BV_SERVED_QUEUED with the reason "draining": the target
+ *   drains, not its node), digest, headers, body
  * - OPEN: session
  * - FENCE: session, attempt
  * - FENCED: attempt, served_state
@@ -180,7 +181,6 @@
  * length. Leaves out the last records if the packet would exceed
  * BV_GOSSIP_BYTES.
  */
-#define BV_GOSSIP_BYTES 1024
 size_t bv_gossip_encode(const bv_member_t *from,
                         const bv_gossip_packet_t *packet,
                         uint8_t out[BV_GOSSIP_BYTES]);
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -14,8 +14,10 @@
 #include <unistd.h>
 
 #define POLL_US 20000
+#define LONG_AGO_MS G_GINT64_CONSTANT(9)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define RENDEZVOUS_DEFAULT_MS 120000
+#define DRAIN_LIMIT_DEFAULT_MS 120000
 #define GOSSIP_KEY                                                            \
     "0000000000000000000000000000000000000000000000000000000000000000"
 
@@ -120,9 +122,10 @@
 }
 
 static bool
-answer_call(void *context, bv_call_t *call)
+on_call(void *context, bv_call_t *call)
 {
     platform_node_t *node = context;
+    g_atomic_int_inc(&node->arrived);
     if (g_atomic_int_compare_and_exchange(
             &node->mode, PLATFORM_TARGET_DROP_ONCE, PLATFORM_TARGET_SERVE)) {
         bv_call_drop(call);
@@ -130,7 +133,7 @@
     }
     gint mode = g_atomic_int_get(&node->mode);
     if (mode == PLATFORM_TARGET_HOLD) {
-        g_atomic_pointer_set(&node->held, call);
+        g_async_queue_push(node->held, call);
         return true;
     }
     answer_as(node, call, mode);
@@ -141,7 +144,7 @@
 platform_wait_for_held(platform_fixture_t *fixture, size_t node_index)
 {
     int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
-    while (g_atomic_pointer_get(&fixture->nodes[node_index].held) == NULL) {
+    while (g_async_queue_length(fixture->nodes[node_index].held) <= 0) {
         ck_assert_msg(bv_clock_now_us() < end_us, "no call is held");
         usleep(POLL_US);
     }
@@ -151,13 +154,22 @@
 platform_answer_held(platform_fixture_t *fixture, size_t node_index)
 {
     platform_node_t *node = &fixture->nodes[node_index];
-    bv_call_t *call = g_atomic_pointer_get(&node->held);
+    bv_call_t *call = g_async_queue_try_pop(node->held);
     ck_assert_ptr_nonnull(call);
-    g_atomic_pointer_set(&node->held, NULL);
     g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
     answer_as(node, call, PLATFORM_TARGET_SERVE);
 }
 
+void
+platform_release_calls(platform_node_t *node)
+{
+    g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
+    bv_call_t *call;
+    while ((call = g_async_queue_try_pop(node->held)) != NULL) {
+        answer_as(node, call, PLATFORM_TARGET_SERVE);
+    }
+}
+
 uint16_t
 platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                    const char *state)
@@ -166,9 +178,11 @@
     char *body = g_strdup_printf(
         "{\"Address\":\"127.0.0.1:%u\",\"Info\":{\"Service\":\"%s\","
         "\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":4},\"Status\":{"
-        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},\"born\":9}",
+        "\"State\":\"%s\",\"Sequence\":%u,\"ColdRemainingMs\":0},"
+        "\"born\":%" G_GINT64_FORMAT "}",
         node->ports[PLATFORM_PORT_TARGET], node->service, state,
-        (unsigned int)++node->sequence);
+        (unsigned int)++node->sequence,
+        node->born_ms != 0 ? (gint64)node->born_ms : LONG_AGO_MS);
     char *path = g_strdup_printf("/v1/instances/i-%zu/heartbeat", node_index);
     uint16_t status = platform_request_status(
         node->ports[PLATFORM_PORT_CONTROL], "POST", path, NULL, body);
@@ -177,10 +191,9 @@
     return status;
 }
 
-/* Writes a row and returns its version. */
-static int64_t
-write_row(const platform_fixture_t *fixture, const char *table,
-          const char *key, const char *value)
+int64_t
+platform_write_row(const platform_fixture_t *fixture, const char *table,
+                   const char *key, const char *value)
 {
     char *encoded = g_base64_encode((guchar *)value, strlen(value));
     char *body = g_strdup_printf(
@@ -206,7 +219,7 @@
 {
     int64_t version = 0;
     for (size_t i = 0; i < count; i++) {
-        version = write_row(fixture, "other", "row", "x");
+        version = platform_write_row(fixture, "other", "row", "x");
     }
     return version;
 }
@@ -222,7 +235,7 @@
         "\"%s\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"Priority\":1,"
         "\"Service\":\"back\",\"MaxAttempts\":2}]}]}",
         version, prefix);
-    int64_t row_version = write_row(fixture, "op", "config", config);
+    int64_t row_version = platform_write_row(fixture, "op", "config", config);
     g_free(config);
     return row_version;
 }
@@ -239,7 +252,7 @@
         "\"Service\":\"back\",\"Public\":true},{\"Name\":\"three\",\"Prefix\":"
         "\"/u/\",\"Type\":\"unsafe\",\"Service\":\"back\"}]}],\"Tenants\":%s}",
         version, tenants);
-    int64_t row_version = write_row(fixture, "op", "config", config);
+    int64_t row_version = platform_write_row(fixture, "op", "config", config);
     g_free(config);
     return row_version;
 }
@@ -265,12 +278,15 @@
         "\"127.0.0.1:%u\",\"operators\":\"127.0.0.1:%u\",\"peer_port\":%u,"
         "\"gossip_port\":%u,\"platform_url\":\"http://127.0.0.1:%u\","
         "\"gossip_key\":\"" GOSSIP_KEY "\",\"probe_interval_ms\":200,"
-        "\"drain_notice_ms\":200,\"rendezvous_ms\":%u,\"log_level\":"
+        "\"drain_notice_ms\":200,\"drain_limit_ms\":%u,\"rendezvous_ms\":%u,"
+        "\"log_level\":"
         "\"error\"}",
         node_index, node->service, node->ports[PLATFORM_PORT_OUTBOUND],
         node->ports[PLATFORM_PORT_CONTROL], node->ports[PLATFORM_PORT_READY],
         node->ports[PLATFORM_PORT_OPERATORS], node->ports[PLATFORM_PORT_PEER],
         node->ports[PLATFORM_PORT_GOSSIP], fixture->store_port,
+        fixture->drain_limit_ms != 0 ? fixture->drain_limit_ms
+                                     : DRAIN_LIMIT_DEFAULT_MS,
         fixture->rendezvous_ms != 0 ? fixture->rendezvous_ms
                                     : RENDEZVOUS_DEFAULT_MS);
     ck_assert(g_file_set_contents(path, text, -1, NULL));
@@ -285,13 +301,14 @@
     ck_assert_uint_lt(node_index, PLATFORM_NODES_MAX);
     platform_node_t *node = &fixture->nodes[node_index];
     node->service = service;
+    node->held = g_async_queue_new();
     for (int i = 0; i < PLATFORM_PORTS; i++) {
         node->ports[i] = free_port();
     }
     bv_listener_options_t target = {
         .address = "127.0.0.1",
         .port = node->ports[PLATFORM_PORT_TARGET],
-        .on_call = answer_call,
+        .on_call = on_call,
         .context = node,
     };
     node->target = bv_listener_start(&target, NULL);
@@ -373,6 +390,7 @@
     g_free(node->caller);
     g_free(node->account);
     g_free(node->authorization);
+    g_async_queue_unref(node->held);
     char *path =
         g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
     remove(path);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -35,7 +35,7 @@
     PLATFORM_TARGET_REFUSE,
     PLATFORM_TARGET_REFUSE_WITHOUT_ID,
     PLATFORM_TARGET_WRONG_ID,
-    /* Keeps one call until platform_answer_held(). */
+    /* Calls are not answered before the mode changes. */
     PLATFORM_TARGET_HOLD,
     /* Closes the connection of one call without an answer, then serves. */
     PLATFORM_TARGET_DROP_ONCE,
@@ -48,17 +48,21 @@
     pid_t pid;
     /* Sequence number of the last heartbeat of the target. */
     uint64_t sequence;
+    /* Start in the target's heartbeats; 0 selects a time long ago. */
+    int64_t born_ms;
     /* How the target answers: a value of PLATFORM_TARGET_... */
     gint mode;
     /* Number of calls that the target has served. */
     gint served;
+    /* Number of calls that have reached the target. */
+    gint arrived;
+    /* Calls that the target holds, of bv_call_t. */
+    GAsyncQueue *held;
     /* Name of the service that made the last call. */
     char *caller;
     /* Headers Tenant-Id and Authorization of the last call; NULL for none. */
     char *account;
     char *authorization;
-    /* The call that is kept in mode PLATFORM_TARGET_HOLD, or NULL. */
-    bv_call_t *held;
 } platform_node_t;
 
 /* Zeroed before the first step. */
@@ -71,6 +75,8 @@
     char *directory;
     /* Period of the nodes' rendezvous; 0 selects the default. */
     uint32_t rendezvous_ms;
+    /* Drain limit of the nodes; 0 selects the default. */
+    uint32_t drain_limit_ms;
 } platform_fixture_t;
 
 void platform_start_store(platform_fixture_t *fixture);
@@ -113,6 +119,14 @@
 int64_t platform_write_accounts(const platform_fixture_t *fixture,
                                 uint32_t version, const char *tenants);
 
+/* Writes a row and returns its version. */
+int64_t platform_write_row(const platform_fixture_t *fixture,
+                           const char *table, const char *key,
+                           const char *value);
+
+/* Answers the calls that a target holds, and all later ones at once. */
+void platform_release_calls(platform_node_t *node);
+
 /* Writes `count` times to a row that no node reads; returns the version. */
 int64_t platform_write_other_rows(const platform_fixture_t *fixture,
                                   size_t count);
