Half-closed callers get all their responses

What callers saw: a client that sent requests and shut down its sending side got no response; its calls were cancelled, and what was read ahead was dropped. Cause: the end of a caller's input was taken for a closed connection. Change: the rest of the input is read and served. A closed connection is recognized by the reset that it answers the first bytes of the next response with; these bytes, "HTTP/1.1 ", are sent when the input ends and are left out of the response later.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -16,6 +16,12 @@
  * unread input resets the connection, which may destroy the answer.
  */
 #define LINGER_US (2 * BV_US_PER_S)
+/*
+ * How each response begins. A caller that ends its input may have closed its
+ * connection, or its sending side only. These bytes, sent ahead of the
+ * response, tell: a closed connection answers them with a reset.
+ */
+#define RESPONSE_START "HTTP/1.1 "
 
 struct bv_connection {
     const bv_connection_options_t *options;
@@ -32,7 +38,12 @@
     GByteArray *unread;
     /* No further request is read. */
     bool is_read_closed;
-    bool is_caller_gone;
+    /* The caller has sent all that it will. */
+    bool is_input_ended;
+    /* The same, or more input waits in the socket before its end. */
+    bool is_end_announced;
+    /* RESPONSE_START was sent ahead of the next response. */
+    bool has_response_start;
     /* The last response is in the output. */
     bool is_ending;
     bool is_lingering;
@@ -93,9 +104,7 @@
 {
     bv_exchange_t *exchange;
     bool is_running;
-    if (!connection->is_caller_gone) {
-        report_disconnects(connection);
-    }
+    report_disconnects(connection);
     while ((exchange = bv_pipeline_remove_first(connection->pipeline,
                                                 &is_running)) != NULL) {
         exchange->connection = NULL;
@@ -168,16 +177,20 @@
 }
 
 /*
- * A caller that shuts down its sending side counts as disconnected where
- * disconnects are reported; else it gets the answers to what it has sent.
+ * Sends the first bytes of the next response, if nothing else is to be written
+ * that would tell whether the caller still reads.
  */
 static void
-handle_end_of_input(bv_connection_t *connection)
+send_response_start(bv_connection_t *connection)
 {
-    connection->is_caller_gone = true;
-    connection->is_read_closed = true;
-    g_byte_array_set_size(connection->unread, 0);
-    report_disconnects(connection);
+    size_t size = strlen(RESPONSE_START);
+    if (connection->has_response_start ||
+        bv_pipeline_is_empty(connection->pipeline) ||
+        !bv_output_is_empty(&connection->output)) {
+        return;
+    }
+    connection->has_response_start = send(connection->fd, RESPONSE_START, size,
+                                          MSG_NOSIGNAL) == (ssize_t)size;
 }
 
 static bool
@@ -189,7 +202,8 @@
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
     }
     if (size == 0) {
-        handle_end_of_input(connection);
+        connection->is_input_ended = true;
+        connection->is_end_announced = true;
         return true;
     }
     connection->active_us = connection->now_us;
@@ -213,7 +227,12 @@
 {
     bv_response_t *response = exchange->response;
     bv_response_ending_t ending = bv_exchange_ending(exchange, is_last);
+    bool has_start = connection->has_response_start;
+    connection->has_response_start = false;
     bv_output_add(&connection->output, bv_response_end_head(response, ending));
+    if (has_start) {
+        bv_output_skip(&connection->output, strlen(RESPONSE_START));
+    }
     bv_output_add(&connection->output, g_steal_pointer(&response->body));
 }
 
@@ -282,9 +301,6 @@
 {
     const bv_connection_options_t *options = connection->options;
     bv_exchange_t *exchange;
-    if (connection->is_caller_gone && options->reports_disconnects) {
-        return;
-    }
     while ((exchange = bv_pipeline_first_waiting(connection->pipeline)) !=
                NULL &&
            may_start(connection, exchange)) {
@@ -303,7 +319,7 @@
     if (!bv_output_is_empty(&connection->output)) {
         return true;
     }
-    if (connection->is_caller_gone) {
+    if (connection->is_input_ended) {
         return !connection->is_ending &&
                bv_pipeline_has_started(connection->pipeline);
     }
@@ -326,9 +342,12 @@
 update_watch(bv_connection_t *connection)
 {
     uint32_t events = 0;
-    if (!connection->is_caller_gone) {
-        events |= connection->options->reports_disconnects ? EPOLLRDHUP : 0;
-        events |= is_reading(connection) ? EPOLLIN : 0;
+    if (!connection->is_input_ended && is_reading(connection)) {
+        events |= EPOLLIN;
+    }
+    if (connection->options->reports_disconnects &&
+        !connection->is_end_announced) {
+        events |= EPOLLRDHUP;
     }
     if (!bv_output_is_empty(&connection->output)) {
         events |= EPOLLOUT;
@@ -353,6 +372,9 @@
         return false;
     }
     start_requests(connection);
+    if (connection->is_end_announced) {
+        send_response_start(connection);
+    }
     bool stays_open = end_if_done(connection);
     update_watch(connection);
     return stays_open;
@@ -369,13 +391,12 @@
     if (connection->is_lingering) {
         return discard_input(connection);
     }
-    if ((events & EPOLLIN) != 0 && is_reading(connection)) {
-        if (!read_input(connection)) {
-            return false;
-        }
+    if ((events & EPOLLRDHUP) != 0) {
+        connection->is_end_announced = true;
     }
-    else if ((events & EPOLLRDHUP) != 0 && !connection->is_caller_gone) {
-        handle_end_of_input(connection);
+    if ((events & EPOLLIN) != 0 && is_reading(connection) &&
+        !read_input(connection)) {
+        return false;
     }
     return advance(connection);
 }
--- a/caller/output.c
+++ b/caller/output.c
@@ -28,6 +28,12 @@
     }
 }
 
+void
+bv_output_skip(bv_output_t *output, size_t size)
+{
+    output->offset += size;
+}
+
 bool
 bv_output_is_empty(const bv_output_t *output)
 {
--- a/caller/output.h
+++ b/caller/output.h
@@ -20,6 +20,12 @@
 /* Adds a chunk and takes over the reference; NULL adds nothing. */
 void bv_output_add(bv_output_t *output, GBytes *chunk);
 
+/*
+ * Leaves out the first `size` bytes, which were written by other means; they
+ * must be part of the first chunk.
+ */
+void bv_output_skip(bv_output_t *output, size_t size);
+
 bool bv_output_is_empty(const bv_output_t *output);
 
 /*
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -70,9 +70,9 @@
     bool (*may_run_ahead)(void *context, const bv_call_t *call);
     /*
      * Called on the listener's thread when the caller has closed its
-     * connection, or its sending side, before the reply, at most once per
-     * call; the call must still be replied to. NULL if disconnects do not
-     * matter.
+     * connection before the reply, at most once per call; the call must still
+     * be replied to. A caller that has shut down its sending side only still
+     * gets its reply. NULL if disconnects do not matter.
      */
     void (*on_disconnect)(void *context, uint64_t tag);
     void *context;
