Byte account and descriptor shares in core

State machines without I/O for the limits of a process: what all connections hold together, when reading pauses, what is admitted and which connection is closed first (by bytes held and bytes moved per period), and how descriptors are divided. Nothing uses them yet. Tests: byte_account, 33 checks on levels, victims (honest slow readers are not chosen, trickles are), bounds and shares.

--- /dev/null
+++ b/core/byte_account.c
@@ -0,0 +1,260 @@
+#include "berylvane/core/byte_account.h"
+
+#include "berylvane/common/clock.h"
+#include "berylvane/common/invariant.h"
+
+#include <glib.h>
+
+#define MEGABYTE (UINT64_C(1024) * 1024)
+/*
+ * A process at rest takes 17 to 25 MB (docs/CAPACITY.md). The rest is for
+ * responses that are larger than expected, and for copies while a message is
+ * encoded, decoded or received.
+ */
+#define BASE_BYTES (64 * MEGABYTE)
+/* Share of what is left; the remainder is for the allocator and small items.
+ */
+#define SHARE_NUMERATOR 3
+#define SHARE_DENOMINATOR 4
+/* Least part of the limit that is used, if the limit is very low. */
+#define LEAST_SHARE 8
+#define PAUSING_PERCENT 50
+#define REJECTING_PERCENT 75
+#define PERIOD_US BV_US_PER_S
+/* A holder below this rate, in bytes per second, makes no progress. */
+#define LEAST_RATE 16384
+/* Time without progress until a holder may be closed, by level. */
+#define PATIENCE_PAUSING_US (5 * BV_US_PER_S)
+#define PATIENCE_REJECTING_US (2 * BV_US_PER_S)
+
+struct bv_byte_account {
+    bv_byte_account_options_t options;
+    uint64_t used_bytes;
+    uint64_t peak_bytes;
+    /* bv_byte_holder_t pointers. */
+    GPtrArray *holders;
+};
+
+uint64_t
+bv_byte_account_bound(uint64_t memory_bytes)
+{
+    uint64_t left = memory_bytes > BASE_BYTES ? memory_bytes - BASE_BYTES : 0;
+    left = left / SHARE_DENOMINATOR * SHARE_NUMERATOR;
+    return MAX(left, memory_bytes / LEAST_SHARE);
+}
+
+bv_byte_account_t *
+bv_byte_account_create(const bv_byte_account_options_t *options)
+{
+    bv_byte_account_t *account = g_new0(bv_byte_account_t, 1);
+    account->options = *options;
+    account->holders = g_ptr_array_new();
+    return account;
+}
+
+void
+bv_byte_account_destroy(bv_byte_account_t *account)
+{
+    if (account == NULL) {
+        return;
+    }
+    g_ptr_array_unref(account->holders);
+    g_free(account);
+}
+
+void
+bv_byte_account_set_bound(bv_byte_account_t *account, uint64_t bound_bytes)
+{
+    account->options.bound_bytes = bound_bytes;
+}
+
+void
+bv_byte_account_charge(bv_byte_account_t *account, uint64_t bytes)
+{
+    account->used_bytes += bytes;
+    account->peak_bytes = MAX(account->peak_bytes, account->used_bytes);
+}
+
+void
+bv_byte_account_release(bv_byte_account_t *account, uint64_t bytes)
+{
+    bv_invariant(bytes <= account->used_bytes, "released_bytes_were_charged",
+                 "byte_account");
+    account->used_bytes -= MIN(bytes, account->used_bytes);
+}
+
+void
+bv_byte_account_join(bv_byte_account_t *account, bv_byte_holder_t *holder,
+                     void *owner, int64_t now_us)
+{
+    *holder = (bv_byte_holder_t){
+        .owner = owner,
+        .period_us = now_us,
+        .progress_us = now_us,
+        .index = account->holders->len,
+    };
+    g_ptr_array_add(account->holders, holder);
+}
+
+void
+bv_byte_account_leave(bv_byte_account_t *account, bv_byte_holder_t *holder)
+{
+    bv_byte_account_release(account, holder->bytes);
+    g_ptr_array_remove_index_fast(account->holders, holder->index);
+    if (holder->index < account->holders->len) {
+        bv_byte_holder_t *moved = account->holders->pdata[holder->index];
+        moved->index = holder->index;
+    }
+    holder->bytes = 0;
+}
+
+void
+bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
+                    int64_t now_us, uint64_t bytes, bool is_waiting)
+{
+    if (bytes > holder->bytes) {
+        bv_byte_account_charge(account, bytes - holder->bytes);
+    }
+    else {
+        bv_byte_account_release(account, holder->bytes - bytes);
+    }
+    holder->bytes = bytes;
+    if (is_waiting && !holder->is_waiting) {
+        holder->waiting_since_us = now_us;
+    }
+    holder->is_waiting = is_waiting;
+}
+
+/* Ends the current period if it has lasted long enough. */
+static void
+renew_period(bv_byte_holder_t *holder, int64_t now_us)
+{
+    int64_t elapsed_us = now_us - holder->period_us;
+    if (elapsed_us < PERIOD_US) {
+        return;
+    }
+    holder->rate =
+        holder->moved_bytes * (uint64_t)BV_US_PER_S / (uint64_t)elapsed_us;
+    if (holder->rate >= LEAST_RATE) {
+        holder->progress_us = now_us;
+    }
+    holder->moved_bytes = 0;
+    holder->period_us = now_us;
+}
+
+void
+bv_byte_account_move(bv_byte_holder_t *holder, int64_t now_us, uint64_t bytes)
+{
+    renew_period(holder, now_us);
+    holder->moved_bytes += bytes;
+}
+
+/* Bytes of the running period, or of a second of the one before. */
+static uint64_t
+current_rate(const bv_byte_holder_t *holder)
+{
+    return MAX(holder->rate, holder->moved_bytes);
+}
+
+uint64_t
+bv_byte_account_used(const bv_byte_account_t *account)
+{
+    return account->used_bytes;
+}
+
+uint64_t
+bv_byte_account_peak(const bv_byte_account_t *account)
+{
+    return account->peak_bytes;
+}
+
+static uint64_t
+threshold(const bv_byte_account_t *account, uint64_t percent)
+{
+    return account->options.bound_bytes / 100 * percent;
+}
+
+bv_byte_level_t
+bv_byte_account_level(const bv_byte_account_t *account)
+{
+    uint64_t bound = account->options.bound_bytes;
+    uint64_t used = account->used_bytes;
+    if (bound == 0 || used < threshold(account, PAUSING_PERCENT)) {
+        return BV_BYTES_NORMAL;
+    }
+    if (used < threshold(account, REJECTING_PERCENT)) {
+        return BV_BYTES_PAUSING;
+    }
+    return used < bound ? BV_BYTES_REJECTING : BV_BYTES_FULL;
+}
+
+bool
+bv_byte_account_admits(const bv_byte_account_t *account, uint64_t bytes)
+{
+    if (account->options.bound_bytes == 0) {
+        return true;
+    }
+    uint64_t limit = bytes <= account->options.small_bytes
+                         ? account->options.bound_bytes
+                         : threshold(account, REJECTING_PERCENT);
+    /* A single item is admitted, however large, while little is held. */
+    return account->used_bytes + bytes <= limit ||
+           bv_byte_account_level(account) == BV_BYTES_NORMAL;
+}
+
+bool
+bv_byte_account_may_read(const bv_byte_account_t *account, uint64_t bytes)
+{
+    switch (bv_byte_account_level(account)) {
+    case BV_BYTES_NORMAL:
+        return true;
+    case BV_BYTES_PAUSING:
+    case BV_BYTES_REJECTING:
+        return bytes <= account->options.small_bytes;
+    case BV_BYTES_FULL:
+        break;
+    }
+    return false;
+}
+
+static bool
+is_stalled(const bv_byte_account_t *account, const bv_byte_holder_t *holder,
+           int64_t now_us)
+{
+    int64_t patience_us = bv_byte_account_level(account) == BV_BYTES_PAUSING
+                              ? PATIENCE_PAUSING_US
+                              : PATIENCE_REJECTING_US;
+    int64_t since_us = MAX(holder->waiting_since_us, holder->progress_us);
+    return holder->bytes > account->options.small_bytes &&
+           current_rate(holder) < LEAST_RATE &&
+           now_us - since_us >= patience_us;
+}
+
+/* Time in which the holder's bytes would move at its rate, in seconds. */
+static double
+seconds_left(const bv_byte_holder_t *holder)
+{
+    return (double)holder->bytes / (double)(current_rate(holder) + LEAST_RATE);
+}
+
+bv_byte_holder_t *
+bv_byte_account_victim(bv_byte_account_t *account, int64_t now_us)
+{
+    bv_byte_level_t level = bv_byte_account_level(account);
+    bv_byte_holder_t *victim = NULL;
+    if (level == BV_BYTES_NORMAL) {
+        return NULL;
+    }
+    for (guint i = 0; i < account->holders->len; i++) {
+        bv_byte_holder_t *holder = account->holders->pdata[i];
+        renew_period(holder, now_us);
+        bool may_close =
+            holder->is_waiting &&
+            (level == BV_BYTES_FULL || is_stalled(account, holder, now_us));
+        if (may_close &&
+            (victim == NULL || seconds_left(holder) > seconds_left(victim))) {
+            victim = holder;
+        }
+    }
+    return victim;
+}
--- /dev/null
+++ b/include/berylvane/core/byte_account.h
@@ -0,0 +1,118 @@
+#ifndef BERYLVANE_CORE_BYTE_ACCOUNT_H
+#define BERYLVANE_CORE_BYTE_ACCOUNT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * byte_account - the bytes that a process holds for others
+ *
+ * Handles the load of clients that make a process hold much at once: bodies
+ * that are never finished, responses that are never read. Without a bound on
+ * all of them together the process exceeds the memory of its instance.
+ *
+ * A holder is one connection. Its bytes are set as they change, and so are the
+ * bytes that moved in either direction, from which its rate follows. Bytes
+ * without a holder (caches, queues) are charged and released. As usage rises,
+ * in this order:
+ * - reading of what was not reserved pauses (BV_BYTES_PAUSING),
+ * - large items are not admitted (BV_BYTES_REJECTING),
+ * - holders that the process waits for are closed: at first those that make
+ *   no progress, above the bound those that hold most for their rate.
+ * Items up to the small size are admitted up to the bound, so that ordinary
+ * requests have a reserve. With the bound 0 nothing is limited.
+ *
+ * All times are monotonic.
+ */
+typedef struct bv_byte_account bv_byte_account_t;
+
+typedef enum {
+    BV_BYTES_NORMAL,
+    BV_BYTES_PAUSING,
+    BV_BYTES_REJECTING,
+    /* The bound is reached. */
+    BV_BYTES_FULL,
+} bv_byte_level_t;
+
+typedef struct {
+    /* 0: no bound. */
+    uint64_t bound_bytes;
+    /* Largest size of an item that counts as small. */
+    uint64_t small_bytes;
+} bv_byte_account_options_t;
+
+/* Embedded in its owner; zeroed before bv_byte_account_join(). */
+typedef struct {
+    void *owner;
+    uint64_t bytes;
+    /*
+     * The process waits for the peer of the connection, to send or to read;
+     * only then is a lack of progress its fault.
+     */
+    bool is_waiting;
+    /* Position in the account's list. */
+    uint32_t index;
+    int64_t waiting_since_us;
+    /* Bytes that moved in the period since `period_us`. */
+    int64_t period_us;
+    uint64_t moved_bytes;
+    /* Bytes per second in the period before. */
+    uint64_t rate;
+    /* End of the last period with progress. */
+    int64_t progress_us;
+} bv_byte_holder_t;
+
+/*
+ * Largest bound for a process whose memory is limited to `memory_bytes`; 0 for
+ * 0. See docs/design/memory.md for the shares.
+ */
+uint64_t bv_byte_account_bound(uint64_t memory_bytes);
+
+bv_byte_account_t *
+bv_byte_account_create(const bv_byte_account_options_t *options);
+void bv_byte_account_destroy(bv_byte_account_t *account);
+
+/* Changes the bound; 0 removes it. */
+void bv_byte_account_set_bound(bv_byte_account_t *account,
+                               uint64_t bound_bytes);
+
+/* Adds a holder, which must leave before it is freed. */
+void bv_byte_account_join(bv_byte_account_t *account, bv_byte_holder_t *holder,
+                          void *owner, int64_t now_us);
+
+/* Removes a holder with all that it holds. */
+void bv_byte_account_leave(bv_byte_account_t *account,
+                           bv_byte_holder_t *holder);
+
+/* Sets what a holder holds, and whether the process waits for its peer. */
+void bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
+                         int64_t now_us, uint64_t bytes, bool is_waiting);
+
+/* Records bytes that a holder's peer has sent or read. */
+void bv_byte_account_move(bv_byte_holder_t *holder, int64_t now_us,
+                          uint64_t bytes);
+
+/* Charges and releases bytes without a holder. */
+void bv_byte_account_charge(bv_byte_account_t *account, uint64_t bytes);
+void bv_byte_account_release(bv_byte_account_t *account, uint64_t bytes);
+
+uint64_t bv_byte_account_used(const bv_byte_account_t *account);
+uint64_t bv_byte_account_peak(const bv_byte_account_t *account);
+bv_byte_level_t bv_byte_account_level(const bv_byte_account_t *account);
+
+/* Whether an item of `bytes` may be held in addition. */
+bool bv_byte_account_admits(const bv_byte_account_t *account, uint64_t bytes);
+
+/*
+ * Whether more may be read for a holder that would then hold `bytes`, without
+ * having reserved them.
+ */
+bool bv_byte_account_may_read(const bv_byte_account_t *account,
+                              uint64_t bytes);
+
+/* Returns the holder that is to be closed next, or NULL. */
+bv_byte_holder_t *bv_byte_account_victim(bv_byte_account_t *account,
+                                         int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tests/test_byte_account.c
@@ -0,0 +1,220 @@
+#include "berylvane/common/clock.h"
+#include "berylvane/core/byte_account.h"
+#include "berylvane/core/descriptor_shares.h"
+#include "support.h"
+
+#include <string.h>
+
+/*
+ * Guards against a process that exceeds the memory of its instance because
+ * nothing bounds what all connections hold together, and against bounds that
+ * strike at honest clients before those that make no progress.
+ */
+
+#define MB (UINT64_C(1024) * 1024)
+#define SMALL_BYTES 65536
+#define BOUND_BYTES (100 * MB)
+#define HOLDERS_MAX 4
+
+static bv_byte_account_t *
+create_account(uint64_t bound_bytes)
+{
+    bv_byte_account_options_t options = {.bound_bytes = bound_bytes,
+                                         .small_bytes = SMALL_BYTES};
+    return bv_byte_account_create(&options);
+}
+
+typedef struct {
+    uint64_t bound_bytes;
+    uint64_t used_bytes;
+    bv_byte_level_t level;
+    bool admits_small;
+    bool admits_large;
+    bool reads_small;
+    bool reads_large;
+} level_case_t;
+
+static const level_case_t level_cases[] = {
+    /* Without a bound nothing is limited. */
+    {0, 1000 * MB, BV_BYTES_NORMAL, true, true, true, true},
+    {BOUND_BYTES, 0, BV_BYTES_NORMAL, true, true, true, true},
+    {BOUND_BYTES, 49 * MB, BV_BYTES_NORMAL, true, true, true, true},
+    /* Reading pauses before large items are rejected. */
+    {BOUND_BYTES, 50 * MB, BV_BYTES_PAUSING, true, true, true, false},
+    {BOUND_BYTES, 70 * MB, BV_BYTES_PAUSING, true, false, true, false},
+    {BOUND_BYTES, 75 * MB, BV_BYTES_REJECTING, true, false, true, false},
+    /* Small items have a reserve up to the bound. */
+    {BOUND_BYTES, 99 * MB, BV_BYTES_REJECTING, true, false, true, false},
+    {BOUND_BYTES, 100 * MB, BV_BYTES_FULL, false, false, false, false},
+    /* A single large item is served by the smallest process. */
+    {MB, 0, BV_BYTES_NORMAL, true, true, true, true},
+};
+
+START_TEST(test_levels)
+{
+    const level_case_t *row = &level_cases[_i];
+    bv_byte_account_t *account = create_account(row->bound_bytes);
+    bv_byte_account_charge(account, row->used_bytes);
+    ck_assert_int_eq(bv_byte_account_level(account), row->level);
+    ck_assert_int_eq(bv_byte_account_admits(account, SMALL_BYTES),
+                     row->admits_small);
+    ck_assert_int_eq(bv_byte_account_admits(account, 7 * MB),
+                     row->admits_large);
+    ck_assert_int_eq(bv_byte_account_may_read(account, SMALL_BYTES),
+                     row->reads_small);
+    ck_assert_int_eq(bv_byte_account_may_read(account, 7 * MB),
+                     row->reads_large);
+    bv_byte_account_release(account, row->used_bytes);
+    ck_assert_uint_eq(bv_byte_account_used(account), 0);
+    ck_assert_uint_eq(bv_byte_account_peak(account), row->used_bytes);
+    bv_byte_account_destroy(account);
+}
+END_TEST
+
+/* What a holder holds, and what its peer moves in each second. */
+typedef struct {
+    uint64_t bytes;
+    uint64_t rate;
+    /* The process does not wait for the peer. */
+    bool is_served;
+} behaviour_t;
+
+typedef struct {
+    behaviour_t holders[HOLDERS_MAX];
+    /* Seconds that they behave so. */
+    int seconds;
+    /* The holder that is to be closed first; -1 for none. */
+    int victim;
+} victim_case_t;
+
+static const victim_case_t victim_cases[] = {
+    /* Enough memory: the slowest is left alone. */
+    {{{40 * MB, 0, false}}, 100, -1},
+    /* Pausing: who makes no progress for 5 s is closed. */
+    {{{60 * MB, 0, false}}, 4, -1},
+    {{{60 * MB, 0, false}}, 6, 0},
+    /* Rejecting: for 2 s. */
+    {{{80 * MB, 0, false}}, 1, -1},
+    {{{80 * MB, 0, false}}, 3, 0},
+    /* An honest slow reader is served, also if it takes long. */
+    {{{80 * MB, 640 * 1024, false}}, 100, -1},
+    {{{73 * MB, 640 * 1024, false}, {7 * MB, 0, false}}, 3, 1},
+    /* A trickle is no progress. */
+    {{{80 * MB, 100, false}}, 10, 0},
+    /* Who waits for the process is not closed. */
+    {{{80 * MB, 0, true}}, 100, -1},
+    {{{120 * MB, 0, true}, {MB, 0, false}}, 1, 1},
+    /* Above the bound: who holds most for its rate. */
+    {{{60 * MB, 1 * MB, false}, {60 * MB, 9 * MB, false}}, 3, 0},
+    {{{90 * MB, 9 * MB, false}, {20 * MB, 64 * 1024, false}}, 3, 1},
+    /* Small holders without progress are not worth closing. */
+    {{{80 * MB, MB, false}, {SMALL_BYTES, 0, false}}, 100, -1},
+};
+
+START_TEST(test_victims)
+{
+    const victim_case_t *row = &victim_cases[_i];
+    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_byte_holder_t holders[HOLDERS_MAX];
+    int64_t now_us = BV_US_PER_S;
+    for (int i = 0; i < HOLDERS_MAX; i++) {
+        bv_byte_account_join(account, &holders[i], &holders[i], now_us);
+        bv_byte_account_set(account, &holders[i], now_us,
+                            row->holders[i].bytes, !row->holders[i].is_served);
+    }
+    for (int second = 0; second < row->seconds; second++) {
+        for (int i = 0; i < HOLDERS_MAX; i++) {
+            bv_byte_account_move(&holders[i], now_us, row->holders[i].rate);
+        }
+        now_us += BV_US_PER_S;
+        if (second + 1 < row->seconds) {
+            bv_byte_account_victim(account, now_us);
+        }
+    }
+    const bv_byte_holder_t *victim = bv_byte_account_victim(account, now_us);
+    ck_assert_int_eq(victim != NULL ? (int)(victim - holders) : -1,
+                     row->victim);
+    for (int i = 0; i < HOLDERS_MAX; i++) {
+        bv_byte_account_leave(account, &holders[i]);
+    }
+    ck_assert_uint_eq(bv_byte_account_used(account), 0);
+    bv_byte_account_destroy(account);
+}
+END_TEST
+
+/* A burst at the start does not excuse a holder for long. */
+START_TEST(test_stalled_after_burst)
+{
+    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_byte_holder_t holder;
+    int64_t now_us = BV_US_PER_S;
+    bv_byte_account_join(account, &holder, &holder, now_us);
+    bv_byte_account_set(account, &holder, now_us, 80 * MB, true);
+    bv_byte_account_move(&holder, now_us, 80 * MB);
+    int seconds = 0;
+    while (bv_byte_account_victim(account, now_us) == NULL) {
+        ck_assert_int_lt(++seconds, 10);
+        now_us += BV_US_PER_S;
+    }
+    bv_byte_account_leave(account, &holder);
+    bv_byte_account_destroy(account);
+}
+END_TEST
+
+typedef struct {
+    uint64_t memory_mb;
+    uint64_t bound_mb;
+} bound_case_t;
+
+static const bound_case_t bound_cases[] = {
+    {0, 0}, {64, 8}, {160, 72}, {260, 147}, {512, 336},
+};
+
+START_TEST(test_bounds)
+{
+    const bound_case_t *row = &bound_cases[_i];
+    ck_assert_uint_eq(bv_byte_account_bound(row->memory_mb * MB),
+                      row->bound_mb * MB);
+}
+END_TEST
+
+typedef struct {
+    uint32_t limit;
+    uint32_t callers;
+    uint32_t readiness;
+} share_case_t;
+
+static const share_case_t share_cases[] = {
+    {0, 0, 0},         {100, 1, 1},       {500, 120, 30},
+    {4100, 1560, 390}, {8192, 3160, 790},
+};
+
+/* The shares leave a reserve for accepted work, peers and the platform. */
+START_TEST(test_descriptors)
+{
+    const share_case_t *row = &share_cases[_i];
+    uint32_t sum = 0;
+    for (int use = 0; use < BV_DESCRIPTORS_USE_END; use++) {
+        sum += bv_descriptor_share(row->limit, (bv_descriptor_use_t)use);
+    }
+    ck_assert_uint_eq(bv_descriptor_share(row->limit, BV_DESCRIPTORS_CALLERS),
+                      row->callers);
+    ck_assert_uint_eq(
+        bv_descriptor_share(row->limit, BV_DESCRIPTORS_READINESS),
+        row->readiness);
+    ck_assert_uint_le(sum, row->limit * 2 / 3);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {
+        {"levels", test_levels, G_N_ELEMENTS(level_cases)},
+        {"victims", test_victims, G_N_ELEMENTS(victim_cases)},
+        {"stalled_after_burst", test_stalled_after_burst, 1},
+        {"bounds", test_bounds, G_N_ELEMENTS(bound_cases)},
+        {"descriptors", test_descriptors, G_N_ELEMENTS(share_cases)},
+        {NULL}};
+    return support_run("byte_account", tests);
+}
