Peer link: no copy of a sent message, bounded receipt, long paths

What callers saw: requests with paths of more than 2,048 bytes were read and then refused with 503 each time, since no peer decodes them, though callers.header_bytes allowed them. Encoded messages are handed to ZeroMQ without a copy, and the bytes that it has not sent are known (bv_link_queued_bytes()). At most 4 MiB are received from a socket before other work has its turn, so that large messages are handled before more are decoded. Nothing changes on the wire for shorter paths and headers.

--- a/include/berylvane/peer/link.h
+++ b/include/berylvane/peer/link.h
@@ -58,13 +58,22 @@
 void bv_link_run_bound(bv_link_t *link);
 
 /*
- * Receives all messages of the sockets that were sent on since the last call.
- * Sending can consume ZeroMQ's notification of a received message, and the
- * descriptor is then not readable: must be called before each wait for the
- * descriptors.
+ * Receives messages of the sockets that were sent on since the last call, and
+ * of those from which not all was received. Sending can consume ZeroMQ's
+ * notification of a received message, and the descriptor is then not readable:
+ * must be called before each wait for the descriptors.
  */
 void bv_link_receive_pending(bv_link_t *link);
 
+/*
+ * Whether messages may be left to be received, for which no descriptor becomes
+ * readable.
+ */
+bool bv_link_has_pending(const bv_link_t *link);
+
+/* Returns the bytes of the messages that were not sent to the network yet. */
+size_t bv_link_queued_bytes(const bv_link_t *link);
+
 /*
  * Sends a message to the member at `address`:`port` over its connection. A
  * connection is made if there is none, or if `message->session` is newer than
--- a/node/loop.c
+++ b/node/loop.c
@@ -171,7 +171,8 @@
 static int
 epoll_timeout_ms(const bv_node_t *node, int64_t limit_us)
 {
-    if (node->local_events.length > 0 || node->loopback_messages.length > 0) {
+    if (node->local_events.length > 0 || node->loopback_messages.length > 0 ||
+        bv_link_has_pending(node->link)) {
         return 0;
     }
     int64_t left_us = MAX(0, next_wakeup_us(node, limit_us) - node->now_us);
--- a/peer/link.c
+++ b/peer/link.c
@@ -10,7 +10,11 @@
 #include <zmq.h>
 
 #define QUEUE_LIMIT_MESSAGES 10000
-#define MESSAGE_LIMIT_BYTES (BV_PEER_BODY_LIMIT_BYTES + 65536)
+#define MESSAGE_LIMIT_BYTES                                                   \
+    (BV_PEER_BODY_LIMIT_BYTES + BV_PEER_PATH_LIMIT_BYTES +                    \
+     BV_PEER_HEADERS_LIMIT_BYTES + 65536)
+/* Bytes that are received from a socket before others have their turn. */
+#define RECEIVED_AT_ONCE_BYTES (4 * 1024 * 1024)
 /* When more replaced connections than this exist, the oldest is closed. */
 #define REPLACED_LIMIT 64
 /* A replaced connection is closed after it was idle for this time. */
@@ -46,6 +50,8 @@
     /* Connections whose has_sent is set. */
     GPtrArray *sent_connections;
     bool router_has_sent;
+    /* Bytes of the messages that ZeroMQ has not sent; changed atomically. */
+    gsize queued_bytes;
     int epoll_fd;
 };
 
@@ -233,8 +239,9 @@
     link->options.on_message(link->options.context, message);
 }
 
+/* Adds the size of the message to `bytes`; returns false if there is none. */
 static bool
-receive_from_router(bv_link_t *link)
+receive_from_router(bv_link_t *link, size_t *bytes)
 {
     zmq_msg_t identity_frame;
     if (!receive_frame(link->router, &identity_frame)) {
@@ -249,6 +256,7 @@
     GBytes *identity = g_bytes_new(zmq_msg_data(&identity_frame),
                                    zmq_msg_size(&identity_frame));
     discard_remaining_frames(link->router, &frame);
+    *bytes += zmq_msg_size(&frame);
     decode_and_deliver(link, &frame, identity, 0);
     g_bytes_unref(identity);
     zmq_msg_close(&frame);
@@ -257,41 +265,87 @@
 }
 
 static bool
-receive_from_connection(bv_link_t *link, connection_t *connection)
+receive_from_connection(bv_link_t *link, connection_t *connection,
+                        size_t *bytes)
 {
     zmq_msg_t frame;
     if (!receive_frame(connection->socket, &frame)) {
         return false;
     }
     discard_remaining_frames(connection->socket, &frame);
+    *bytes += zmq_msg_size(&frame);
     connection->last_received_us = bv_clock_now_us();
     decode_and_deliver(link, &frame, NULL, connection->session);
     zmq_msg_close(&frame);
     return true;
 }
 
-/* Receives from `connection`, or from the router if that is NULL. */
+/* Makes sure that bv_link_receive_pending() receives from the connection. */
+static void
+mark_pending(bv_link_t *link, connection_t *connection)
+{
+    if (!connection->has_sent) {
+        connection->has_sent = true;
+        g_ptr_array_add(link->sent_connections, connection);
+    }
+}
+
+/*
+ * Receives from `connection`, or from the router if that is NULL, up to
+ * RECEIVED_AT_ONCE_BYTES: large messages are handled before more are decoded.
+ */
 static void
 receive_all(bv_link_t *link, connection_t *connection)
 {
-    if (connection == NULL) {
-        while (receive_from_router(link)) {
-        }
-        return;
+    size_t bytes = 0;
+    bool has_more = true;
+    while (has_more && bytes < RECEIVED_AT_ONCE_BYTES) {
+        has_more = connection == NULL
+                       ? receive_from_router(link, &bytes)
+                       : receive_from_connection(link, connection, &bytes);
     }
-    while (receive_from_connection(link, connection)) {
+    if (has_more && connection == NULL) {
+        link->router_has_sent = true;
+    }
+    else if (has_more) {
+        mark_pending(link, connection);
     }
 }
 
+/* An encoded message that ZeroMQ has taken over. */
+typedef struct {
+    bv_link_t *link;
+    GBytes *bytes;
+} queued_t;
+
+/* Called by ZeroMQ on any thread when the message was sent or dropped. */
+static void
+release_queued(void *data, void *hint)
+{
+    queued_t *queued = hint;
+    (void)data;
+    g_atomic_pointer_add(&queued->link->queued_bytes,
+                         -(gssize)g_bytes_get_size(queued->bytes));
+    g_bytes_unref(queued->bytes);
+    g_free(queued);
+}
+
 static bool
-send_encoded(void *socket, const bv_peer_message_t *message)
+send_encoded(bv_link_t *link, void *socket, const bv_peer_message_t *message)
 {
-    GBytes *bytes = bv_peer_message_encode(message);
+    zmq_msg_t frame;
     gsize size;
-    const void *data = g_bytes_get_data(bytes, &size);
-    bool sent = zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0;
+    queued_t *queued = g_new(queued_t, 1);
+    queued->link = link;
+    queued->bytes = bv_peer_message_encode(message);
+    void *data = (void *)g_bytes_get_data(queued->bytes, &size);
+    g_atomic_pointer_add(&link->queued_bytes, (gssize)size);
+    zmq_msg_init_data(&frame, data, size, release_queued, queued);
+    bool sent = zmq_msg_send(&frame, socket, ZMQ_DONTWAIT) >= 0;
+    if (!sent) {
+        zmq_msg_close(&frame);
+    }
     bv_counter_add(sent ? BV_COUNT_PEER_SENT : BV_COUNT_RING_FULL, 1);
-    g_bytes_unref(bytes);
     return sent;
 }
 
@@ -302,32 +356,39 @@
     if (connection == NULL) {
         return true;
     }
-    if (!connection->has_sent) {
-        connection->has_sent = true;
-        g_ptr_array_add(link->sent_connections, connection);
-    }
-    return send_encoded(connection->socket, destination->message);
+    mark_pending(link, connection);
+    return send_encoded(link, connection->socket, destination->message);
 }
 
 void
 bv_link_receive_pending(bv_link_t *link)
 {
-    while (link->router_has_sent || link->sent_connections->len > 0) {
-        if (link->router_has_sent) {
-            link->router_has_sent = false;
-            receive_all(link, NULL);
-        }
-        if (link->sent_connections->len > 0) {
-            connection_t *connection =
-                link->sent_connections->pdata[link->sent_connections->len - 1];
-            g_ptr_array_set_size(link->sent_connections,
-                                 (gint)link->sent_connections->len - 1);
-            connection->has_sent = false;
-            receive_all(link, connection);
-        }
+    if (link->router_has_sent) {
+        link->router_has_sent = false;
+        receive_all(link, NULL);
+    }
+    /* Connections that have more are added anew, behind these. */
+    for (guint left = link->sent_connections->len; left > 0; left--) {
+        connection_t *connection =
+            g_ptr_array_remove_index(link->sent_connections, 0);
+        connection->has_sent = false;
+        receive_all(link, connection);
     }
 }
 
+bool
+bv_link_has_pending(const bv_link_t *link)
+{
+    return link->router_has_sent || link->sent_connections->len > 0;
+}
+
+size_t
+bv_link_queued_bytes(const bv_link_t *link)
+{
+    /* GLib's atomic access takes no constant pointer. */
+    return (size_t)g_atomic_pointer_get((gsize *)&link->queued_bytes);
+}
+
 void
 bv_link_run(bv_link_t *link)
 {
@@ -415,7 +476,7 @@
     bool sent = link->connections != NULL &&
                 zmq_send(link->router, identity, size,
                          ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
-                send_encoded(link->router, message);
+                send_encoded(link, link->router, message);
     link->router_has_sent = true;
     bv_peer_message_destroy(message);
     return sent;
--- a/peer/message.c
+++ b/peer/message.c
@@ -196,7 +196,7 @@
         (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
     message->method = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT_BYTES);
     message->host = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT_BYTES);
-    message->path = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT_BYTES);
+    message->path = bv_unpack_text(unpack, BV_PEER_PATH_LIMIT_BYTES);
     message->headers = bv_unpack_text(unpack, BV_PEER_HEADERS_LIMIT_BYTES);
     message->idempotency_key =
         bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT_BYTES);
