--- a/caller/connection.c
+++ b/caller/connection.c
@@ -16,6 +16,8 @@
  * unread input resets the connection, which may destroy the answer.
  */
 #define LINGER_US (2 * BV_US_PER_S)
+/* A connection without requests: its objects and buffers. */
+#define CONNECTION_BYTES 2048
 /*
  * How each response begins. A caller that ends its input may have closed its
  * connection, or its sending side only. These bytes, sent ahead of the
@@ -36,12 +38,14 @@
     bv_output_t output;
     /* Input that was received but not parsed, since there was no room. */
     GByteArray *unread;
+    bv_byte_holder_t holder;
     /* No further request is read. */
     bool is_read_closed;
     /* The caller has sent all that it will. */
     bool is_input_ended;
     /* The same, or more input waits in the socket before its end. */
     bool is_end_announced;
+    bool has_received_request;
     /* RESPONSE_START was sent ahead of the next response. */
     bool has_response_start;
     /* The last response is in the output. */
@@ -69,6 +73,7 @@
         .dialect = options->dialect,
         .role = options->role,
         .limits = options->limits,
+        .account = options->account,
     };
     connection->options = options;
     connection->fd = fd;
@@ -77,6 +82,10 @@
     connection->pipeline = bv_pipeline_create();
     connection->unread = g_byte_array_new();
     bv_output_init(&connection->output);
+    if (options->account != NULL) {
+        bv_byte_account_join(options->account, &connection->holder, connection,
+                             now_us);
+    }
     watch(connection, EPOLL_CTL_ADD, EPOLLIN | EPOLLRDHUP);
     return connection;
 }
@@ -105,6 +114,10 @@
     bv_exchange_t *exchange;
     bool is_running;
     report_disconnects(connection);
+    if (connection->options->account != NULL) {
+        bv_byte_account_leave(connection->options->account,
+                              &connection->holder);
+    }
     while ((exchange = bv_pipeline_remove_first(connection->pipeline,
                                                 &is_running)) != NULL) {
         exchange->connection = NULL;
@@ -120,12 +133,67 @@
     g_free(connection);
 }
 
+static uint64_t
+held_bytes(const bv_connection_t *connection)
+{
+    return CONNECTION_BYTES +
+           bv_request_reader_held_bytes(connection->reader) +
+           connection->unread->len + bv_pipeline_bytes(connection->pipeline) +
+           connection->output.bytes;
+}
+
+/* Whether the caller has to send or to read before anything else happens. */
+static bool
+waits_for_caller(const bv_connection_t *connection)
+{
+    return !bv_output_is_empty(&connection->output) ||
+           bv_pipeline_is_empty(connection->pipeline);
+}
+
+static void
+update_account(bv_connection_t *connection)
+{
+    if (connection->options->account != NULL) {
+        bv_byte_account_set(connection->options->account, &connection->holder,
+                            connection->now_us, held_bytes(connection),
+                            waits_for_caller(connection));
+    }
+}
+
+static void
+record_progress(bv_connection_t *connection, size_t bytes)
+{
+    connection->active_us = connection->now_us;
+    bv_byte_account_move(&connection->holder, connection->now_us, bytes);
+}
+
+static bool
+is_memory_short(const bv_connection_t *connection)
+{
+    const bv_byte_account_t *account = connection->options->account;
+    return account != NULL &&
+           bv_byte_account_level(account) >= BV_BYTES_PAUSING;
+}
+
+/* Whether reading does not pause for lack of memory. */
+static bool
+may_read(const bv_connection_t *connection)
+{
+    const bv_byte_account_t *account = connection->options->account;
+    return account == NULL ||
+           bv_request_reader_is_reserved(connection->reader) ||
+           bv_byte_account_may_read(account, held_bytes(connection));
+}
+
+/* While memory is short, nothing is read ahead. */
 static bool
 has_room(const bv_connection_t *connection)
 {
     const bv_connection_limits_t *limits = connection->options->limits;
     bv_pipeline_limits_t bounds = {
-        .requests = (uint32_t)bv_limit(&limits->read_ahead_requests),
+        .requests = is_memory_short(connection)
+                        ? 1
+                        : (uint32_t)bv_limit(&limits->read_ahead_requests),
         .bytes = bv_limit(&limits->read_ahead_bytes),
     };
     return !connection->is_read_closed &&
@@ -137,6 +205,7 @@
 {
     bv_pipeline_t *pipeline = connection->pipeline;
     bv_exchange_t *exchange = received->exchange;
+    connection->has_received_request = true;
     bv_pipeline_add(pipeline, exchange, received->request_bytes);
     if (received->is_refused) {
         bv_pipeline_answer(pipeline, exchange, true, 0);
@@ -206,7 +275,7 @@
         connection->is_end_announced = true;
         return true;
     }
-    connection->active_us = connection->now_us;
+    record_progress(connection, (size_t)size);
     size_t parsed = parse(connection, buffer, (size_t)size);
     g_byte_array_append(connection->unread, (const guint8 *)buffer + parsed,
                         (guint)((size_t)size - parsed));
@@ -277,7 +346,7 @@
 {
     ssize_t written = bv_output_write(&connection->output, connection->fd);
     if (written > 0) {
-        connection->active_us = connection->now_us;
+        record_progress(connection, (size_t)written);
     }
     return written >= 0;
 }
@@ -335,7 +404,8 @@
 is_reading(const bv_connection_t *connection)
 {
     return connection->is_lingering ||
-           (has_room(connection) && connection->unread->len == 0);
+           (has_room(connection) && connection->unread->len == 0 &&
+            may_read(connection));
 }
 
 static void
@@ -376,6 +446,7 @@
         send_response_start(connection);
     }
     bool stays_open = end_if_done(connection);
+    update_account(connection);
     update_watch(connection);
     return stays_open;
 }
@@ -441,3 +512,27 @@
 {
     return bv_output_is_empty(&connection->output);
 }
+
+void
+bv_connection_resume(bv_connection_t *connection)
+{
+    update_watch(connection);
+}
+
+bv_listener_t *
+bv_connection_listener(const bv_connection_t *connection)
+{
+    return connection->options->listener;
+}
+
+int64_t
+bv_connection_idle_since_us(const bv_connection_t *connection)
+{
+    return waits_for_caller(connection) ? connection->active_us : INT64_MAX;
+}
+
+bool
+bv_connection_is_new(const bv_connection_t *connection)
+{
+    return !connection->has_received_request;
+}
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -17,6 +17,8 @@
     const bv_caller_dialect_t *dialect;
     bv_listener_role_t role;
     const bv_connection_limits_t *limits;
+    /* NULL for none; see bv_listener_options_t. */
+    bv_byte_account_t *account;
     /* The epoll set that connections are watched in. */
     int epoll_fd;
     /* Callers that disconnect are reported; see bv_listener_options_t. */
@@ -46,6 +48,21 @@
 bool bv_connection_reply(bv_connection_t *connection, int64_t now_us,
                          const bv_exchange_t *exchange);
 
+/* Reads again if reading had paused and memory is free again. */
+void bv_connection_resume(bv_connection_t *connection);
+
+/* The listener of the connection with this holder of the account. */
+bv_listener_t *bv_connection_listener(const bv_connection_t *connection);
+
+/*
+ * Time of the last byte of a connection that may be closed for a new one,
+ * since no call is open; INT64_MAX for others.
+ */
+int64_t bv_connection_idle_since_us(const bv_connection_t *connection);
+
+/* Whether no request was received so far. */
+bool bv_connection_is_new(const bv_connection_t *connection);
+
 /* Monotonic time at which the connection is to be closed. */
 int64_t bv_connection_due_us(const bv_connection_t *connection);
 
--- a/caller/limits.c
+++ b/caller/limits.c
@@ -29,6 +29,7 @@
 {
     set_if_positive(&limits->header_bytes, values->header_bytes);
     set_if_positive(&limits->body_bytes, values->body_bytes);
+    set_if_positive(&limits->carried_body_bytes, values->carried_body_bytes);
     set_if_positive(&limits->header_timeout_s,
                     seconds_rounded_up(values->header_timeout_us));
     set_if_positive(&limits->idle_timeout_s,
@@ -43,6 +44,7 @@
     bv_listener_limits_t values = {
         .header_bytes = HEADERS_LIMIT_BYTES,
         .body_bytes = BODY_LIMIT_BYTES,
+        .carried_body_bytes = G_MAXINT,
         .header_timeout_us = IDLE_TIMEOUT_US,
         .idle_timeout_us = IDLE_TIMEOUT_US,
         .read_ahead_requests = READ_AHEAD_REQUESTS,
--- a/caller/limits.h
+++ b/caller/limits.h
@@ -11,6 +11,7 @@
 typedef struct {
     gint header_bytes;
     gint body_bytes;
+    gint carried_body_bytes;
     gint header_timeout_s;
     gint idle_timeout_s;
     gint read_ahead_requests;
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
+#include "berylvane/common/log.h"
 #include "connection.h"
 
 #include <apr_thread_mutex.h>
@@ -15,11 +16,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define CONNECTION_LIMIT 10000
+#define CONNECTIONS_LIMIT 10000
 #define EVENTS_AT_ONCE 64
 #define ACCEPTS_AT_ONCE 64
 /* Interval at which connections are checked for their time limits. */
 #define SWEEP_US (BV_US_PER_S / 2)
+/* The same while reading pauses for lack of memory. */
+#define SHORT_SWEEP_US (BV_US_PER_S / 20)
+/*
+ * Time after which an idle connection may be closed for a new one: after its
+ * last response, and without any request so far.
+ */
+#define IDLE_KEPT_US BV_US_PER_S
+#define IDLE_NEW_US (BV_US_PER_S / 5)
 
 struct bv_listener {
     bv_listener_options_t options;
@@ -29,6 +38,8 @@
     /* -1 once the listener accepts no more connections. */
     int socket_fd;
     bool is_accepting;
+    /* A caller waits for another connection to be closed. */
+    bool needs_connection;
     /* Set of bv_connection_t pointers. */
     GHashTable *connections;
     int64_t sweep_due_us;
@@ -174,6 +185,14 @@
     bv_connection_destroy(connection);
 }
 
+static bool
+is_full(const bv_listener_t *listener)
+{
+    uint32_t limit = listener->options.connections_limit;
+    return g_hash_table_size(listener->connections) >=
+           (limit > 0 ? limit : CONNECTIONS_LIMIT);
+}
+
 /*
  * While no descriptor or memory is left, accepting pauses until the next
  * sweep; the waiting connections would otherwise wake the listener at once.
@@ -182,7 +201,10 @@
 accept_connections(bv_listener_t *listener, int64_t now_us)
 {
     for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
-        if (g_hash_table_size(listener->connections) >= CONNECTION_LIMIT) {
+        if (is_full(listener)) {
+            listener->needs_connection = true;
+            listener->sweep_due_us =
+                MIN(listener->sweep_due_us, now_us + SHORT_SWEEP_US);
             watch_socket(listener, EPOLL_CTL_MOD, 0);
             return;
         }
@@ -263,11 +285,90 @@
     g_ptr_array_unref(overdue);
 }
 
+typedef struct {
+    bv_connection_t *connection;
+    int64_t idle_since_us;
+} idle_connection_t;
+
+static gint
+compare_idle(gconstpointer left, gconstpointer right)
+{
+    const idle_connection_t *a = left;
+    const idle_connection_t *b = right;
+    return a->idle_since_us < b->idle_since_us
+               ? -1
+               : a->idle_since_us > b->idle_since_us;
+}
+
+static GArray *
+list_idle(const bv_listener_t *listener, int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer key;
+    GArray *idle = g_array_new(FALSE, FALSE, sizeof(idle_connection_t));
+    g_hash_table_iter_init(&iterator, listener->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        idle_connection_t item = {key, bv_connection_idle_since_us(key)};
+        int64_t least_us =
+            bv_connection_is_new(key) ? IDLE_NEW_US : IDLE_KEPT_US;
+        if (item.idle_since_us <= now_us - least_us) {
+            g_array_append_val(idle, item);
+        }
+    }
+    return idle;
+}
+
+/* Makes room for new callers: closes those that were idle for longest. */
+static void
+close_idle(bv_listener_t *listener, int64_t now_us)
+{
+    GArray *idle = list_idle(listener, now_us);
+    guint count = MIN(idle->len, ACCEPTS_AT_ONCE);
+    g_array_sort(idle, compare_idle);
+    for (guint i = 0; i < count; i++) {
+        remove_connection(
+            listener, g_array_index(idle, idle_connection_t, i).connection);
+    }
+    if (count > 0) {
+        bv_counter_add(BV_COUNT_CONNECTIONS_CLOSED_DESCRIPTORS, count);
+        bv_log(BV_LOG_WARN, "connections_closed", "reason", "descriptors",
+               "count", BV_NUM(count), NULL);
+    }
+    g_array_unref(idle);
+}
+
+static bool
+is_memory_short(const bv_listener_t *listener)
+{
+    const bv_byte_account_t *account = listener->options.account;
+    return account != NULL &&
+           bv_byte_account_level(account) >= BV_BYTES_PAUSING;
+}
+
+static void
+resume_all(const bv_listener_t *listener)
+{
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, listener->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        bv_connection_resume(key);
+    }
+}
+
 static void
 sweep(bv_listener_t *listener, int64_t now_us)
 {
-    listener->sweep_due_us = now_us + SWEEP_US;
+    bool is_short = is_memory_short(listener);
+    listener->sweep_due_us = now_us + (is_short ? SHORT_SWEEP_US : SWEEP_US);
     close_overdue(listener, now_us);
+    if (listener->needs_connection) {
+        listener->needs_connection = false;
+        close_idle(listener, now_us);
+    }
+    if (listener->options.account != NULL) {
+        resume_all(listener);
+    }
     if (listener->socket_fd >= 0 && !listener->is_accepting) {
         watch_socket(listener, EPOLL_CTL_MOD, EPOLLIN);
     }
@@ -395,6 +496,7 @@
         .dialect = listener->options.dialect,
         .role = options->role,
         .limits = &listener->limits,
+        .account = options->account,
         .epoll_fd = listener->epoll_fd,
         .reports_disconnects = options->on_disconnect != NULL,
         .pass_on = pass_on,
@@ -409,6 +511,21 @@
     return listener;
 }
 
+uint32_t
+bv_listener_relieve(bv_byte_account_t *account)
+{
+    uint32_t count = 0;
+    int64_t now_us = bv_clock_now_us();
+    bv_byte_holder_t *holder;
+    while ((holder = bv_byte_account_victim(account, now_us)) != NULL) {
+        bv_connection_t *connection = holder->owner;
+        remove_connection(bv_connection_listener(connection), connection);
+        count++;
+    }
+    bv_counter_add(BV_COUNT_CONNECTIONS_CLOSED_MEMORY, count);
+    return count;
+}
+
 void
 bv_listener_quiesce(bv_listener_t *listener)
 {
--- a/caller/output.c
+++ b/caller/output.c
@@ -5,12 +5,15 @@
 #include <sys/uio.h>
 
 #define CHUNKS_AT_ONCE 16
+/* Chunks from this size on are shortened while they are written. */
+#define LARGE_BYTES 262144
 
 void
 bv_output_init(bv_output_t *output)
 {
     g_queue_init(&output->chunks);
     output->offset = 0;
+    output->bytes = 0;
 }
 
 void
@@ -18,6 +21,7 @@
 {
     g_queue_clear_full(&output->chunks, (GDestroyNotify)g_bytes_unref);
     output->offset = 0;
+    output->bytes = 0;
 }
 
 void
@@ -25,6 +29,7 @@
 {
     if (chunk != NULL) {
         g_queue_push_tail(&output->chunks, chunk);
+        output->bytes += g_bytes_get_size(chunk);
     }
 }
 
@@ -57,6 +62,23 @@
     return count;
 }
 
+/* Frees the written half of a large chunk, which takes a copy of the rest. */
+static void
+shorten_first(bv_output_t *output)
+{
+    GBytes *first = g_queue_peek_head(&output->chunks);
+    gsize size;
+    const char *data = g_bytes_get_data(first, &size);
+    if (size < LARGE_BYTES || output->offset < size / 2) {
+        return;
+    }
+    output->chunks.head->data =
+        g_bytes_new(data + output->offset, size - output->offset);
+    output->bytes -= output->offset;
+    output->offset = 0;
+    g_bytes_unref(first);
+}
+
 static void
 remove_written(bv_output_t *output, size_t written)
 {
@@ -65,9 +87,11 @@
         GBytes *first = g_queue_peek_head(&output->chunks);
         size_t size = g_bytes_get_size(first);
         if (output->offset < size) {
+            shorten_first(output);
             return;
         }
         output->offset -= size;
+        output->bytes -= size;
         g_queue_pop_head(&output->chunks);
         g_bytes_unref(first);
     }
--- a/caller/output.h
+++ b/caller/output.h
@@ -12,6 +12,8 @@
     GQueue chunks;
     /* Bytes of the first chunk that were written. */
     size_t offset;
+    /* Bytes that the chunks take up, whether written or not. */
+    size_t bytes;
 } bv_output_t;
 
 void bv_output_init(bv_output_t *output);
--- a/caller/request_reader.c
+++ b/caller/request_reader.c
@@ -1,10 +1,14 @@
 #include "request_reader.h"
 
 #include "berylvane/caller/framing.h"
+#include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 
 #define STATUS_CONTENT_TOO_LARGE 413
+#define STATUS_UNAVAILABLE 503
+/* Time after which a caller may retry a request that memory was short for. */
+#define RETRY_AFTER_US BV_US_PER_S
 
 struct bv_request_reader {
     bv_request_reader_options_t options;
@@ -14,9 +18,45 @@
     /* The request that is being read; NULL before its head is complete. */
     bv_exchange_t *receiving;
     uint64_t received_bytes;
+    /* Length of the body that is being received; 0 if it is not known. */
+    uint64_t reserved_bytes;
+    /* Why the request is refused, if its status is STATUS_UNAVAILABLE. */
+    bv_reason_t refusal_reason;
     bool owes_continue;
 };
 
+/*
+ * Checks a body of which `size` bytes are known to come or were received.
+ * Returns 0, or the HTTP status that the request is refused with.
+ */
+static uint16_t
+check_body_size(bv_request_reader_t *reader, uint64_t size)
+{
+    const bv_connection_limits_t *limits = reader->options.limits;
+    if (size > bv_limit(&limits->body_bytes)) {
+        return STATUS_CONTENT_TOO_LARGE;
+    }
+    if (size > bv_limit(&limits->carried_body_bytes)) {
+        reader->refusal_reason = BV_REASON_BODY_TOO_LARGE;
+        return STATUS_UNAVAILABLE;
+    }
+    return 0;
+}
+
+/* Checks whether the body of the request may be held until it is answered. */
+static uint16_t
+reserve_body(bv_request_reader_t *reader, uint64_t size)
+{
+    const bv_byte_account_t *account = reader->options.account;
+    if (account != NULL && size > 0 &&
+        !bv_byte_account_admits(account, size)) {
+        reader->refusal_reason = BV_REASON_NO_MEMORY;
+        return STATUS_UNAVAILABLE;
+    }
+    reader->reserved_bytes = size;
+    return 0;
+}
+
 static uint16_t
 check_head(bv_request_reader_t *reader, const bv_request_head_t *head)
 {
@@ -27,11 +67,10 @@
                                              options->role, head->lines,
                                              &reader->receiving->call);
     }
-    if (status == 0 &&
-        head->content_length > bv_limit(&options->limits->body_bytes)) {
-        status = STATUS_CONTENT_TOO_LARGE;
+    if (status == 0) {
+        status = check_body_size(reader, head->content_length);
     }
-    return status;
+    return status == 0 ? reserve_body(reader, head->content_length) : status;
 }
 
 static uint16_t
@@ -49,10 +88,11 @@
 static uint16_t
 on_body(void *context, const char *data, size_t size)
 {
-    const bv_request_reader_t *reader = context;
+    bv_request_reader_t *reader = context;
     GByteArray *body = reader->receiving->received_body;
-    if (body->len + size > bv_limit(&reader->options.limits->body_bytes)) {
-        return STATUS_CONTENT_TOO_LARGE;
+    uint16_t status = check_body_size(reader, body->len + size);
+    if (status != 0) {
+        return status;
     }
     g_byte_array_append(body, (const guint8 *)data, (guint)size);
     return 0;
@@ -92,6 +132,24 @@
     return exchange;
 }
 
+/*
+ * Completes the refusal of a request that the limits allow. An earlier request
+ * with the same key may have run.
+ */
+static void
+set_unavailable(const bv_request_reader_t *reader,
+                const bv_exchange_t *exchange, bv_reply_t *reply)
+{
+    bool is_short = reader->refusal_reason == BV_REASON_NO_MEMORY;
+    bool has_key = exchange != NULL && exchange->call.idempotency_key != NULL;
+    reply->reason = reader->refusal_reason;
+    reply->outcome = has_key ? BV_OUTCOME_UNKNOWN : BV_OUTCOME_NOT_RUN;
+    reply->retry_after_us = is_short ? RETRY_AFTER_US : 0;
+    bv_counter_add(is_short ? BV_COUNT_BODIES_REFUSED_MEMORY
+                            : BV_COUNT_BODIES_REFUSED_SIZE,
+                   1);
+}
+
 static bv_exchange_t *
 refuse_request(bv_request_reader_t *reader, uint16_t status)
 {
@@ -103,13 +161,19 @@
         .outcome = BV_OUTCOME_NOT_RUN,
         .closes_connection = true,
     };
+    if (status == STATUS_UNAVAILABLE) {
+        set_unavailable(reader, exchange, &reply);
+    }
     if (exchange == NULL) {
         exchange = bv_exchange_create(options->listener, options->connection,
                                       &unread_head);
     }
     exchange->response =
         bv_response_build(options->dialect, &reply, exchange->call.method);
-    bv_counter_add(BV_COUNT_ANSWERS_NOT_RUN, 1);
+    bv_counter_add(reply.outcome == BV_OUTCOME_UNKNOWN
+                       ? BV_COUNT_ANSWERS_UNKNOWN
+                       : BV_COUNT_ANSWERS_NOT_RUN,
+                   1);
     bv_log(BV_LOG_INFO, "head_refused", "status", BV_NUM(status), NULL);
     return exchange;
 }
@@ -136,6 +200,7 @@
                             : complete_request(reader, now_us);
     received.request_bytes = reader->received_bytes;
     reader->received_bytes = 0;
+    reader->reserved_bytes = 0;
     reader->owes_continue = false;
     return received;
 }
@@ -153,3 +218,15 @@
     reader->owes_continue = false;
     return owes_continue;
 }
+
+uint64_t
+bv_request_reader_held_bytes(const bv_request_reader_t *reader)
+{
+    return MAX(reader->received_bytes, reader->reserved_bytes);
+}
+
+bool
+bv_request_reader_is_reserved(const bv_request_reader_t *reader)
+{
+    return reader->reserved_bytes > 0;
+}
--- a/caller/request_reader.h
+++ b/caller/request_reader.h
@@ -15,6 +15,8 @@
     const bv_caller_dialect_t *dialect;
     bv_listener_role_t role;
     const bv_connection_limits_t *limits;
+    /* Decides whether a large body is received; NULL: always. */
+    const bv_byte_account_t *account;
 } bv_request_reader_options_t;
 
 typedef struct {
@@ -53,4 +55,13 @@
  */
 bool bv_request_reader_take_continue(bv_request_reader_t *reader);
 
+/*
+ * Bytes of the request that is being received, with those of a body of known
+ * length that are to come.
+ */
+uint64_t bv_request_reader_held_bytes(const bv_request_reader_t *reader);
+
+/* Whether a body is being received whose whole length was admitted. */
+bool bv_request_reader_is_reserved(const bv_request_reader_t *reader);
+
 #endif
--- a/core/pipeline.c
+++ b/core/pipeline.c
@@ -205,3 +205,9 @@
 {
     return pipeline->entries.length == 0;
 }
+
+uint64_t
+bv_pipeline_bytes(const bv_pipeline_t *pipeline)
+{
+    return pipeline->bytes;
+}
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -2,6 +2,7 @@
 #define BERYLVANE_CALLER_LISTENER_H
 
 #include "berylvane/caller/dialect.h"
+#include "berylvane/core/byte_account.h"
 
 /*
  * listener - HTTP server for calls of outside callers or of the local target
@@ -22,6 +23,11 @@
 typedef struct {
     uint32_t header_bytes;
     uint32_t body_bytes;
+    /*
+     * Largest body that can be passed on. A larger one that `body_bytes`
+     * allows is refused with 503 before it is read.
+     */
+    uint32_t carried_body_bytes;
     /*
      * Time until a head is complete: from accepting a connection for the first
      * one, from its first byte for a later one.
@@ -55,6 +61,16 @@
      * listener, runs it with bv_listener_run() and gets all callbacks.
      */
     bool is_threadless;
+    /*
+     * Account of the bytes that the connections hold; NULL for none. Only a
+     * threadless listener may have one.
+     */
+    bv_byte_account_t *account;
+    /*
+     * Largest number of connections; 0 selects the default. When it is
+     * reached, idle ones are closed for new ones.
+     */
+    uint32_t connections_limit;
     /*
      * Called for each complete call, on the listener's thread. If it returns
      * true, bv_call_reply() or bv_call_drop() must be called exactly once. If
@@ -102,6 +118,12 @@
 void bv_listener_set_limits(bv_listener_t *listener,
                             const bv_listener_limits_t *limits);
 
+/*
+ * Closes the connections of all listeners with this account that are to be
+ * closed; returns their number. Must not be called within a callback.
+ */
+uint32_t bv_listener_relieve(bv_byte_account_t *account);
+
 /* Accepts no new connections; open ones can still send calls. */
 void bv_listener_quiesce(bv_listener_t *listener);
 
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -71,6 +71,16 @@
     X(CONFIG_ADOPTED, "config_adopted", "configurations put in force")        \
     X(CONFIG_REJECTED, "config_rejected", "configurations not adopted")       \
     X(CONFIG_CONFLICTS, "config_conflicts", "two digests of one generation")  \
+    X(BODIES_REFUSED_MEMORY, "bodies_refused_memory",                         \
+      "request bodies not read, for lack of memory")                          \
+    X(BODIES_REFUSED_SIZE, "bodies_refused_size",                             \
+      "request bodies not read, larger than a node passes on")                \
+    X(CALLS_DELAYED_MEMORY, "calls_delayed_memory",                           \
+      "calls whose responses waited for memory")                              \
+    X(CONNECTIONS_CLOSED_MEMORY, "connections_closed_memory",                 \
+      "callers' connections closed for lack of memory")                       \
+    X(CONNECTIONS_CLOSED_DESCRIPTORS, "connections_closed_descriptors",       \
+      "idle callers' connections closed for new ones")                        \
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
--- a/include/berylvane/common/gauges.h
+++ b/include/berylvane/common/gauges.h
@@ -23,7 +23,11 @@
       "time since the store last answered for the configuration, "            \
       "or since the start")                                                   \
     X(CONFIG_IN_FORCE_AGE, "config_in_force_age_seconds", AGE,                \
-      "time since the configuration in force was adopted")
+      "time since the configuration in force was adopted")                    \
+    X(HELD_BYTES, "held_bytes", VALUE,                                        \
+      "bytes of requests, responses and messages held")                       \
+    X(HELD_BYTES_PEAK, "held_bytes_peak", VALUE,                              \
+      "most bytes held since the start")
 
 typedef enum {
 #define BV_GAUGE_SYMBOL(symbol, name, kind, help) BV_GAUGE_##symbol,
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -35,6 +35,8 @@
     X(NO_CONFIG, "no_config")                                                 \
     X(TARGET_REFUSED, "target_refused")                                       \
     X(WRONG_TARGET, "wrong_target")                                           \
-    X(ANSWER_FOREIGN, "answer_foreign")
+    X(ANSWER_FOREIGN, "answer_foreign")                                       \
+    X(NO_MEMORY, "no_memory")                                                 \
+    X(BODY_TOO_LARGE, "body_too_large")
 
 #endif
--- a/include/berylvane/core/pipeline.h
+++ b/include/berylvane/core/pipeline.h
@@ -87,4 +87,7 @@
 
 bool bv_pipeline_is_empty(const bv_pipeline_t *pipeline);
 
+/* Bytes of the requests and answers that are held. */
+uint64_t bv_pipeline_bytes(const bv_pipeline_t *pipeline);
+
 #endif
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -42,6 +42,10 @@
     /* Time of the call's next timer, and its entry in `call_timers`. */
     int64_t due_us;
     GSequenceIter *timer;
+    /* Memory reserved for the response. */
+    uint64_t expected_bytes;
+    /* Until when the call waits for memory; 0 if it does not. */
+    int64_t memory_until_us;
     uint16_t priority;
     /* The call entered the cluster here, and opened the credit ledger. */
     bool is_entry;
--- /dev/null
+++ b/include/berylvane/node/memory.h
@@ -0,0 +1,52 @@
+#ifndef BERYLVANE_NODE_MEMORY_H
+#define BERYLVANE_NODE_MEMORY_H
+
+#include "berylvane/node/call.h"
+
+/*
+ * memory - keeps the node within the memory of its instance
+ *
+ * Owns the byte account (core/byte_account) and charges to it what no listener
+ * holds: responses that are expected or being received, work for the local
+ * target, responses kept for repeats, and messages queued for peers. While
+ * memory is short, calls whose responses are expected to be large wait here
+ * before they are sent to another node, which holds nothing for them yet.
+ * Without the setting memory_limit_mb nothing is limited.
+ */
+
+void bv_memory_create(bv_node_t *node);
+void bv_memory_destroy(bv_node_t *node);
+
+/* Applies memory_limit_mb. */
+void bv_memory_apply_settings(bv_node_t *node);
+
+/* Largest number of connections of a listener; 0 for the default. */
+uint32_t bv_memory_connections_limit(const bv_node_t *node,
+                                     bv_listener_role_t role);
+
+/*
+ * Reserves memory for the response of a call that is about to start. Returns
+ * true if there is none: the call is then started later, or refused.
+ */
+bool bv_memory_delays(bv_node_t *node, bv_call_state_t *state);
+
+/* Releases the reservation of a call that is answered with `reply`. */
+void bv_memory_call_ended(bv_node_t *node, bv_call_state_t *state,
+                          const bv_reply_t *reply);
+
+/* Whether the dispatch holds more than this node can take now. */
+bool bv_memory_refuses(const bv_node_t *node,
+                       const bv_peer_message_t *dispatch);
+
+/* Work for the local target was accepted, or has ended. */
+void bv_memory_work_added(bv_node_t *node, const bv_peer_message_t *dispatch);
+void bv_memory_work_removed(bv_node_t *node,
+                            const bv_peer_message_t *dispatch);
+
+/*
+ * Updates the account, closes connections and starts calls that waited; runs
+ * in each iteration of the loop.
+ */
+void bv_memory_tick(bv_node_t *node);
+
+#endif
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -46,6 +46,9 @@
 /* Claim writes that are queued to be sent in one store transaction. */
 typedef struct bv_claim_writes bv_claim_writes_t;
 
+/* See memory.h. */
+typedef struct bv_memory bv_memory_t;
+
 /* An event for the decision thread, which calls `run` with `data`. */
 typedef struct {
     void (*run)(bv_node_t *node, void *data);
@@ -123,6 +126,9 @@
     GQueue local_events;
     /* Peer messages that this node addresses to itself. */
     GQueue loopback_messages;
+    bv_memory_t *memory;
+    /* Owned by `memory`. */
+    bv_byte_account_t *account;
     int64_t now_us;
     int64_t started_us;
     uint64_t incarnation;
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -76,6 +76,13 @@
     /* Bounds of what is read ahead from one caller's connection. */
     int64_t read_ahead_requests;
     int64_t read_ahead_bytes;
+    /* Memory of the instance; 0: what is held is not bounded. */
+    int64_t memory_limit_mb;
+    /*
+     * Descriptors that the process may have open; 0: not bounded. Takes effect
+     * at the start.
+     */
+    int64_t descriptor_limit;
     int64_t trace_percent;
     int64_t probe_interval_ms;
     int64_t suspect_timeout_ms;
--- a/node/calls.c
+++ b/node/calls.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/core/retry_after.h"
 #include "berylvane/node/keyed.h"
+#include "berylvane/node/memory.h"
 
 #include <string.h>
 
@@ -133,6 +134,7 @@
         state->timer = NULL;
     }
     state->answered = true;
+    bv_memory_call_ended(node, state, reply);
     reply_to_caller(node, state, &full_reply);
     g_hash_table_remove(node->calls, &state->tag);
     g_ptr_array_add(node->finished_calls, state);
@@ -306,7 +308,9 @@
         return;
     }
     if (!needs_key) {
-        bv_calls_start_attempts(node, state);
+        if (!bv_memory_delays(node, state)) {
+            bv_calls_start_attempts(node, state);
+        }
         return;
     }
     bv_keyed_begin(node, state);
--- a/node/loop.c
+++ b/node/loop.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/node/configs.h"
+#include "berylvane/node/memory.h"
 #include "berylvane/node/node.h"
 
 #include <sys/epoll.h>
@@ -218,6 +219,7 @@
         run_local_events(node);
     }
     run_due_timers(node);
+    bv_memory_tick(node);
     bv_link_receive_pending(node->link);
     g_ptr_array_set_size(node->finished_calls, 0);
 }
--- /dev/null
+++ b/node/memory.c
@@ -0,0 +1,301 @@
+#include "berylvane/node/memory.h"
+
+#include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
+#include "berylvane/common/gauges.h"
+#include "berylvane/common/log.h"
+#include "berylvane/core/descriptor_shares.h"
+
+#include <malloc.h>
+
+#define BYTES_PER_MB (UINT64_C(1024) * 1024)
+#define SMALL_BYTES 65536
+/*
+ * Expected size of an idempotent call's response while none of its route is
+ * known. It bounds the calls that are open until the first one is answered.
+ * With 1 MiB, 25 downloads of 7 MiB were open before a node of 160 MB knew
+ * their size, which took 206 MB.
+ */
+#define UNKNOWN_RESPONSE_BYTES (4 * 1024 * 1024)
+/* Part of the expected size that a smaller response takes away. */
+#define EXPECTED_DECAY 8
+#define ROUTES_LIMIT 4096
+/* A call waits for memory for at most these three quarters of its time. */
+#define WAIT_NUMERATOR 3
+#define WAIT_DENOMINATOR 4
+#define LOG_INTERVAL_US BV_US_PER_S
+/*
+ * Larger blocks are mapped one by one, so that they are returned to the system
+ * when they are freed. The C library otherwise raises this limit to the size
+ * of the largest block that was freed.
+ */
+#define MAPPED_BLOCK_BYTES (128 * 1024)
+
+struct bv_memory {
+    bv_byte_account_t *account;
+    /* Bytes that bv_memory_tick() charged in the last iteration. */
+    uint64_t charged_bytes;
+    /* Bodies of the work for the local target. */
+    uint64_t work_bytes;
+    /* Expected bytes of the responses of open calls. */
+    uint64_t expected_bytes;
+    /* Expected size of a response by the hash of the route's name. */
+    GHashTable *expected_by_route;
+    /* Tags of the calls that wait for memory, in the order of arrival. */
+    GQueue waiting;
+    /* Connections closed and not logged yet. */
+    uint32_t closed_count;
+    int64_t log_due_us;
+};
+
+static uint64_t
+bound_of(const bv_settings_t *settings)
+{
+    return bv_byte_account_bound((uint64_t)settings->memory_limit_mb *
+                                 BYTES_PER_MB);
+}
+
+void
+bv_memory_create(bv_node_t *node)
+{
+    bv_memory_t *memory = g_new0(bv_memory_t, 1);
+    bv_byte_account_options_t options = {
+        .bound_bytes = bound_of(node->settings),
+        .small_bytes = SMALL_BYTES,
+    };
+    memory->account = bv_byte_account_create(&options);
+    memory->expected_by_route = g_hash_table_new(NULL, NULL);
+    g_queue_init(&memory->waiting);
+    if (options.bound_bytes > 0) {
+        mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+    }
+    node->memory = memory;
+    node->account = memory->account;
+}
+
+void
+bv_memory_destroy(bv_node_t *node)
+{
+    bv_memory_t *memory = node->memory;
+    g_queue_clear_full(&memory->waiting, g_free);
+    g_hash_table_destroy(memory->expected_by_route);
+    bv_byte_account_destroy(memory->account);
+    g_free(memory);
+}
+
+void
+bv_memory_apply_settings(bv_node_t *node)
+{
+    bv_byte_account_set_bound(node->account, bound_of(node->settings));
+}
+
+uint32_t
+bv_memory_connections_limit(const bv_node_t *node, bv_listener_role_t role)
+{
+    static const bv_descriptor_use_t uses[BV_LISTENER_ROLE_END] = {
+        [BV_LISTENER_OUTSIDE] = BV_DESCRIPTORS_CALLERS,
+        [BV_LISTENER_LOCAL] = BV_DESCRIPTORS_LOCAL,
+        [BV_LISTENER_CONTROL] = BV_DESCRIPTORS_CONTROL,
+        [BV_LISTENER_READINESS] = BV_DESCRIPTORS_READINESS,
+    };
+    return bv_descriptor_share((uint32_t)node->settings->descriptor_limit,
+                               uses[role]);
+}
+
+static uint64_t
+expected_response_bytes(const bv_memory_t *memory,
+                        const bv_call_state_t *state)
+{
+    gpointer value;
+    bool is_known = g_hash_table_lookup_extended(
+        memory->expected_by_route, GUINT_TO_POINTER(state->route_hash), NULL,
+        &value);
+    if (is_known) {
+        return GPOINTER_TO_SIZE(value);
+    }
+    return state->route->is_idempotent ? UNKNOWN_RESPONSE_BYTES : 0;
+}
+
+static void
+learn_response(bv_memory_t *memory, const bv_call_state_t *state,
+               uint64_t bytes)
+{
+    GHashTable *expected = memory->expected_by_route;
+    gpointer route = GUINT_TO_POINTER(state->route_hash);
+    uint64_t before = GPOINTER_TO_SIZE(g_hash_table_lookup(expected, route));
+    uint64_t after = MAX(bytes, before - before / EXPECTED_DECAY);
+    if (g_hash_table_size(expected) >= ROUTES_LIMIT) {
+        g_hash_table_remove_all(expected);
+    }
+    g_hash_table_insert(expected, route, GSIZE_TO_POINTER(after));
+}
+
+static void
+reserve(bv_memory_t *memory, bv_call_state_t *state, uint64_t bytes)
+{
+    state->expected_bytes = bytes;
+    memory->expected_bytes += bytes;
+    memory->charged_bytes += bytes;
+    bv_byte_account_charge(memory->account, bytes);
+}
+
+bool
+bv_memory_delays(bv_node_t *node, bv_call_state_t *state)
+{
+    bv_memory_t *memory = node->memory;
+    if (node->settings->memory_limit_mb == 0) {
+        return false;
+    }
+    uint64_t bytes = expected_response_bytes(memory, state);
+    bool has_turn = bytes <= SMALL_BYTES || memory->waiting.length == 0;
+    if (has_turn && (bytes <= SMALL_BYTES ||
+                     bv_byte_account_admits(memory->account, bytes))) {
+        reserve(memory, state, bytes);
+        return false;
+    }
+    state->memory_until_us =
+        node->now_us + (state->deadline_us - node->now_us) / WAIT_DENOMINATOR *
+                           WAIT_NUMERATOR;
+    g_queue_push_tail(&memory->waiting,
+                      g_memdup2(&state->tag, sizeof(state->tag)));
+    bv_counter_add(BV_COUNT_CALLS_DELAYED_MEMORY, 1);
+    return true;
+}
+
+void
+bv_memory_call_ended(bv_node_t *node, bv_call_state_t *state,
+                     const bv_reply_t *reply)
+{
+    bv_memory_t *memory = node->memory;
+    memory->expected_bytes -= state->expected_bytes;
+    state->expected_bytes = 0;
+    state->memory_until_us = 0;
+    if (reply->outcome == BV_OUTCOME_RAN && state->route != NULL) {
+        learn_response(memory, state,
+                       reply->body != NULL ? g_bytes_get_size(reply->body)
+                                           : 0);
+    }
+}
+
+static uint64_t
+body_bytes(const bv_peer_message_t *message)
+{
+    return message->body != NULL ? g_bytes_get_size(message->body) : 0;
+}
+
+bool
+bv_memory_refuses(const bv_node_t *node, const bv_peer_message_t *dispatch)
+{
+    return !bv_byte_account_admits(node->account, body_bytes(dispatch));
+}
+
+void
+bv_memory_work_added(bv_node_t *node, const bv_peer_message_t *dispatch)
+{
+    node->memory->work_bytes += body_bytes(dispatch);
+}
+
+void
+bv_memory_work_removed(bv_node_t *node, const bv_peer_message_t *dispatch)
+{
+    node->memory->work_bytes -= body_bytes(dispatch);
+}
+
+/* Charges what has changed since the last iteration. */
+static void
+update_account(bv_node_t *node)
+{
+    bv_memory_t *memory = node->memory;
+    uint64_t bytes = memory->work_bytes + memory->expected_bytes +
+                     bv_answer_cache_bytes(node->answer_cache) +
+                     bv_target_client_received_bytes(node->target_client) +
+                     bv_link_queued_bytes(node->link);
+    if (bytes > memory->charged_bytes) {
+        bv_byte_account_charge(memory->account, bytes - memory->charged_bytes);
+    }
+    else {
+        bv_byte_account_release(memory->account,
+                                memory->charged_bytes - bytes);
+    }
+    memory->charged_bytes = bytes;
+    bv_gauge_set(BV_GAUGE_HELD_BYTES,
+                 (int64_t)bv_byte_account_used(memory->account));
+    bv_gauge_set(BV_GAUGE_HELD_BYTES_PEAK,
+                 (int64_t)bv_byte_account_peak(memory->account));
+}
+
+static void
+close_connections(bv_node_t *node)
+{
+    bv_memory_t *memory = node->memory;
+    if (bv_byte_account_level(memory->account) >= BV_BYTES_PAUSING) {
+        memory->closed_count += bv_listener_relieve(memory->account);
+    }
+    if (memory->closed_count > 0 && node->now_us >= memory->log_due_us) {
+        bv_log(BV_LOG_WARN, "connections_closed", "reason", "memory", "count",
+               BV_NUM(memory->closed_count), "held_bytes",
+               BV_NUM((gint64)bv_byte_account_used(memory->account)), NULL);
+        memory->closed_count = 0;
+        memory->log_due_us = node->now_us + LOG_INTERVAL_US;
+    }
+}
+
+static void
+refuse_waiting(bv_node_t *node, bv_call_state_t *state)
+{
+    bv_reply_t reply = {
+        .status = 503,
+        .outcome = BV_OUTCOME_NOT_RUN,
+        .reason = BV_REASON_NO_MEMORY,
+    };
+    bv_calls_finish(node, state, &reply);
+}
+
+/* Returns false if the call goes on waiting. */
+static bool
+end_waiting(bv_node_t *node, bv_call_state_t *state, bool *has_turn)
+{
+    uint64_t bytes = expected_response_bytes(node->memory, state);
+    if (node->now_us >= state->memory_until_us) {
+        refuse_waiting(node, state);
+        return true;
+    }
+    if (!*has_turn || !bv_byte_account_admits(node->account, bytes)) {
+        *has_turn = false;
+        return false;
+    }
+    reserve(node->memory, state, bytes);
+    state->memory_until_us = 0;
+    bv_calls_start_attempts(node, state);
+    return true;
+}
+
+/* Starts the calls that there is memory for, in the order of their arrival. */
+static void
+start_waiting(bv_node_t *node)
+{
+    GQueue *waiting = &node->memory->waiting;
+    bool has_turn = true;
+    GList *next;
+    for (GList *link = waiting->head; link != NULL; link = next) {
+        bv_call_state_t *state = bv_calls_find(node, *(uint64_t *)link->data);
+        next = link->next;
+        if (state == NULL || state->memory_until_us == 0 ||
+            end_waiting(node, state, &has_turn)) {
+            g_free(link->data);
+            g_queue_delete_link(waiting, link);
+        }
+    }
+}
+
+void
+bv_memory_tick(bv_node_t *node)
+{
+    update_account(node);
+    if (node->settings->memory_limit_mb == 0 &&
+        node->memory->waiting.length == 0) {
+        return;
+    }
+    close_connections(node);
+    start_waiting(node);
+}
--- a/node/node.c
+++ b/node/node.c
@@ -5,6 +5,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/call.h"
+#include "berylvane/node/memory.h"
 
 #include <string.h>
 
@@ -19,6 +20,11 @@
 #define SESSION_CALLERS_LIMIT 65536
 #define ANSWER_CACHE_LIMIT_BYTES (8 * 1024 * 1024)
 #define JOURNAL_CAPACITY 8192
+/*
+ * Longest path, and longest header lines, of a caller that any peer accepts:
+ * lines grow by up to a quarter when they are written anew.
+ */
+#define CALLER_HEADERS_LIMIT_BYTES (BV_PEER_HEADERS_LIMIT_BYTES / 2)
 #define CLOSE_WAIT_US (5 * BV_US_PER_MS)
 
 static bool
@@ -164,6 +170,7 @@
 {
     return (bv_listener_limits_t){
         .body_bytes = (uint32_t)settings->body_limit_bytes,
+        .carried_body_bytes = BV_PEER_BODY_LIMIT_BYTES,
         .read_ahead_requests = (uint32_t)settings->read_ahead_requests,
         .read_ahead_bytes = (uint32_t)settings->read_ahead_bytes,
     };
@@ -187,6 +194,8 @@
         .may_run_ahead = takes_calls ? bv_calls_may_run_ahead : NULL,
         .on_disconnect = takes_calls ? on_caller_gone : NULL,
         .is_threadless = true,
+        .account = node->account,
+        .connections_limit = bv_memory_connections_limit(node, role),
         .context = node,
     };
     if (endpoint->port == 0) {
@@ -232,7 +241,7 @@
 {
     const bv_caller_limits_t *callers = &node->config->caller_limits;
     bv_listener_limits_t limits = {
-        .header_bytes = callers->header_bytes,
+        .header_bytes = MIN(callers->header_bytes, CALLER_HEADERS_LIMIT_BYTES),
         .body_bytes = callers->body_bytes,
         .header_timeout_us = callers->header_timeout_us,
         .idle_timeout_us = callers->idle_timeout_us,
@@ -246,6 +255,7 @@
 bv_node_apply_listener_settings(bv_node_t *node)
 {
     bv_listener_limits_t limits = settings_limits(node->settings);
+    bv_memory_apply_settings(node);
     for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
         if (node->listeners[role] != NULL) {
             bv_listener_set_limits(node->listeners[role], &limits);
@@ -270,6 +280,7 @@
     node->now_us = bv_clock_now_us();
     node->started_us = node->now_us;
     node->events = bv_ring_create(pool, EVENT_RING_CAPACITY);
+    bv_memory_create(node);
     create_core(node);
     if (!bv_members_create(node, error) || !start_link(node, error)) {
         return NULL;
@@ -405,6 +416,7 @@
     g_queue_clear_full(&node->loopback_messages,
                        (GDestroyNotify)bv_peer_message_destroy);
     destroy_core(node);
+    bv_memory_destroy(node);
     g_rand_free(node->random);
     g_free(node);
 }
--- a/node/serve.c
+++ b/node/serve.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/invariant.h"
 #include "berylvane/node/call.h"
+#include "berylvane/node/memory.h"
 
 #include <string.h>
 
@@ -120,6 +121,7 @@
     bv_parents_remove(node, served);
     g_hash_table_remove(node->served_by_attempt, &served->key);
     g_hash_table_remove(node->served, &served->id);
+    bv_memory_work_removed(node, served->dispatch);
     bv_peer_message_destroy(served->dispatch);
     g_free(served);
 }
@@ -236,6 +238,9 @@
         dispatch->path == NULL) {
         return BV_REASON_NO_TARGET;
     }
+    if (bv_memory_refuses(node, dispatch)) {
+        return BV_REASON_NO_MEMORY;
+    }
     return BV_REASON_NONE;
 }
 
@@ -274,6 +279,7 @@
     served->id = ++node->next_id;
     served->key = attempt_key_of(message);
     served->dispatch = message;
+    bv_memory_work_added(node, message);
     served->deadline_us =
         node->now_us + message->remaining_us -
         MIN(HOP_MARGIN_US, message->remaining_us / HOP_MARGIN_DIVISOR);
--- a/node/settings.c
+++ b/node/settings.c
@@ -74,6 +74,8 @@
     NUMBER("body_limit_bytes", body_limit_bytes, false, 1024, 8388608),
     NUMBER("read_ahead_requests", read_ahead_requests, false, 1, 64),
     NUMBER("read_ahead_bytes", read_ahead_bytes, false, 1024, 8388608),
+    NUMBER("memory_limit_mb", memory_limit_mb, false, 0, 1048576),
+    NUMBER("descriptor_limit", descriptor_limit, false, 0, 1048576),
     NUMBER("trace_percent", trace_percent, false, 0, 100),
     NUMBER("probe_interval_ms", probe_interval_ms, false, 50, 60000),
     NUMBER("suspect_timeout_ms", suspect_timeout_ms, false, 100, 600000),
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -108,7 +108,10 @@
         g_atomic_int_inc(&node->served);
         break;
     }
-    reply.body = g_bytes_new_static("whole", 5);
+    bool is_large =
+        node->large_body != NULL && strstr(call->path, "/large") != NULL;
+    reply.body = is_large ? g_bytes_ref(node->large_body)
+                          : g_bytes_new_static("whole", 5);
     bv_call_reply(call, &reply);
     g_bytes_unref(reply.body);
     g_free(refusal);
@@ -176,7 +179,8 @@
 {
     char *config = g_strdup_printf(
         "{\"Version\":\"r%u\",\"Services\":[{\"Name\":\"front\"},{\"Name\":"
-        "\"back\"}],\"Limits\":{\"MaxHeaderBytes\":16384},\"VirtualHosts\":[{"
+        "\"back\"}],\"Limits\":{\"MaxHeaderBytes\":16384,"
+        "\"MaxBodyBytes\":67108864},\"VirtualHosts\":[{"
         "\"Hostname\":\"h.example\",\"Paths\":[{\"Name\":\"one\",\"Prefix\":"
         "\"%s\",\"Type\":\"safe\",\"TimeoutMs\":3000,\"Priority\":1,"
         "\"Service\":\"back\",\"MaxAttempts\":2}]}]}",
@@ -201,7 +205,7 @@
     char *path =
         g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
     char *text = g_strdup_printf(
-        "{\"dialect\":\"platform\",\"name\":\"n-%zu\",\"service\":\"%s\","
+        "{%s\"dialect\":\"platform\",\"name\":\"n-%zu\",\"service\":\"%s\","
         "\"address\":\"127.0.0.1\",\"region\":\"r\",\"data_centre\":\"z\","
         "\"outside\":\"127.0.0.1:%u\",\"control\":\"127.0.0.1:%u\",\"ready\":"
         "\"127.0.0.1:%u\",\"operators\":\"127.0.0.1:%u\",\"peer_port\":%u,"
@@ -209,6 +213,7 @@
         "\"gossip_key\":\"" GOSSIP_KEY "\",\"probe_interval_ms\":200,"
         "\"drain_notice_ms\":200,\"rendezvous_ms\":%u,\"log_level\":"
         "\"error\"}",
+        fixture->extra_settings != NULL ? fixture->extra_settings : "",
         node_index, node->service, node->ports[PLATFORM_PORT_OUTBOUND],
         node->ports[PLATFORM_PORT_CONTROL], node->ports[PLATFORM_PORT_READY],
         node->ports[PLATFORM_PORT_OPERATORS], node->ports[PLATFORM_PORT_PEER],
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -50,6 +50,8 @@
     gint served;
     /* Name of the service that made the last call. */
     char *caller;
+    /* Body of the answers to paths that contain "/large"; may be NULL. */
+    GBytes *large_body;
 } platform_node_t;
 
 /* Zeroed before the first step. */
@@ -62,6 +64,8 @@
     char *directory;
     /* Period of the nodes' rendezvous; 0 selects the default. */
     uint32_t rendezvous_ms;
+    /* Further members of the nodes' settings, each followed by a comma. */
+    const char *extra_settings;
 } platform_fixture_t;
 
 void platform_start_store(platform_fixture_t *fixture);
--- a/tests/test_deploy_template.c
+++ b/tests/test_deploy_template.c
@@ -19,7 +19,10 @@
     "\"Control\": \"10.1.0.8:8306\", \"Ready\": \"10.1.0.8:8302\"}, "         \
     "\"InternalPorts\": [7620, 7635], "                                       \
     "\"Platform\": {\"Address\": \"10.200.1.7:8309\"}, "                      \
-    "\"Seeds\": [\"10.1.0.9:8306\"], \"Bounds\": {" bounds "}}"
+    "\"Seeds\": [\"10.1.0.9:8306\"], \"Bounds\": {" bounds "}"
+
+#define LIMITS                                                                \
+    ", \"Limits\": {\"MemoryMb\": 260, \"MaxFds\": 4100, \"Cpu\": 0.4}"
 
 typedef struct {
     const char *fields;
@@ -27,20 +30,25 @@
     int64_t drain_notice_ms;
     int64_t config_apply_ms;
     json_int_t shared_reserve;
+    int64_t memory_limit_mb;
+    int64_t descriptor_limit;
 } template_case_t;
 
 #define DEFAULT_DRAIN_LIMIT_MS 120000
 #define DRAIN_NOTICE_MS 2800
+/* Where the platform states no memory, that of its smallest instances. */
+#define LEAST_MEMORY_MB 160
 
 static const template_case_t cases[] = {
     {FIELDS("\"GraceS\": 6, \"ConfigApplyMs\": 2500, \"BudgetSlack\": 50, "
             "\"BudgetWindowS\": 10, \"RetryBudgetRatio\": 0.2, "
-            "\"Unknown\": true"),
-     5150, DRAIN_NOTICE_MS, 2500, 48},
-    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0},
-    {FIELDS("\"BudgetSlack\": 124"), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS,
-     0, 122},
-    {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0},
+            "\"Unknown\": true") LIMITS "}",
+     5150, DRAIN_NOTICE_MS, 2500, 48, 260, 4100},
+    {FIELDS("\"GraceS\": 3") "}", 2150, 1182, 0, 0, LEAST_MEMORY_MB, 0},
+    {FIELDS("\"BudgetSlack\": 124") "}", DEFAULT_DRAIN_LIMIT_MS,
+     DRAIN_NOTICE_MS, 0, 122, LEAST_MEMORY_MB, 0},
+    {FIELDS("") LIMITS "}", DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 260,
+     4100},
 };
 
 static bv_settings_t *
@@ -94,6 +102,8 @@
     ck_assert_int_eq(settings->drain_limit_ms, row->drain_limit_ms);
     ck_assert_int_eq(settings->drain_notice_ms, row->drain_notice_ms);
     ck_assert_int_eq(settings->config_apply_ms, row->config_apply_ms);
+    ck_assert_int_eq(settings->memory_limit_mb, row->memory_limit_mb);
+    ck_assert_int_eq(settings->descriptor_limit, row->descriptor_limit);
     ck_assert_int_eq(shared_reserve(dialect), row->shared_reserve);
     bv_settings_destroy(settings);
 }
