Credits: no loan that a peer refuses

What callers saw: while many requests with the same request id were open, all with this id were refused after their deadline. Cause: they share a ledger, whose sum was lent out; peers drop a dispatch with more than 255 credits as malformed (peer_bad, field 14). Evidence: e2e_hostile_clients under the thread sanitizer, crowd of responses that are not read: 12 dispatches dropped in 13 s. Change: a loan is at most 255 credits. Tests: credit has a check that fails on the code before (a loan of 360); 7 of 7 now. The same run of the crowd drops no message.

--- a/core/credit.c
+++ b/core/credit.c
@@ -96,7 +96,7 @@
         return loan;
     }
     loan.ledger_number = ledger->number;
-    loan.amount = (uint32_t)((ledger->available + 1) / 2);
+    loan.amount = (uint32_t)MIN((ledger->available + 1) / 2, BV_LOAN_LIMIT);
     ledger->available -= loan.amount;
     ledger->lent += loan.amount;
     check_conservation(ledger, "lend");
--- a/include/berylvane/core/credit.h
+++ b/include/berylvane/core/credit.h
@@ -17,6 +17,9 @@
  */
 typedef struct bv_credits bv_credits_t;
 
+/* Largest loan that a peer accepts. */
+#define BV_LOAN_LIMIT 255
+
 /*
  * Credits that were lent to a child call. `ledger_number` distinguishes the
  * lending ledger from a later one of the same request.
@@ -39,7 +42,10 @@
 /* Spends one credit; false when none is available. */
 bool bv_credits_spend(bv_credits_t *credits, const bv_id_t *id);
 
-/* Lends half of the available credits, rounded up, to a child call. */
+/*
+ * Lends half of the available credits, rounded up, to a child call, but not
+ * more than BV_LOAN_LIMIT.
+ */
 bv_loan_t bv_credits_lend(bv_credits_t *credits, const bv_id_t *id);
 
 /*
--- a/peer/message.c
+++ b/peer/message.c
@@ -1,5 +1,6 @@
 #include "berylvane/peer/message.h"
 
+#include "berylvane/core/credit.h"
 #include "berylvane/peer/pack.h"
 
 #include <string.h>
@@ -191,7 +192,7 @@
     message->is_idempotent = bv_unpack_boolean(unpack);
     message->bypasses_admission = bv_unpack_boolean(unpack);
     message->is_retry = bv_unpack_boolean(unpack);
-    message->credit = (uint32_t)bv_unpack_number(unpack, 255);
+    message->credit = (uint32_t)bv_unpack_number(unpack, BV_LOAN_LIMIT);
     message->remaining_us =
         (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
     message->method = bv_unpack_text(unpack, BV_PEER_TEXT_LIMIT_BYTES);
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -198,6 +198,28 @@
 }
 END_TEST
 
+/*
+ * Guards against loans that no peer accepts: calls that share a request id
+ * share a ledger, and a dispatch with more credits than the limit is dropped
+ * as malformed by its receiver.
+ */
+START_TEST(test_loan_limit)
+{
+    bv_credits_t *credits = bv_credits_create();
+    bv_id_t id = {{1}};
+    for (int i = 0; i < 60; i++) {
+        bv_credits_open(credits, &id, 12);
+    }
+    bv_loan_t loan = bv_credits_lend(credits, &id);
+    ck_assert_uint_eq(loan.amount, 255);
+    bv_credits_return(credits, &id, &loan, loan.amount);
+    for (int i = 0; i < 60; i++) {
+        ck_assert_uint_eq(bv_credits_close(credits, &id, 12), 12);
+    }
+    bv_credits_destroy(credits);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -205,6 +227,7 @@
     const support_test_t tests[] = {
         {"reopened", test_reopened_ledger, 1},
         {"shared", test_shared_ledger, 1},
+        {"loan_limit", test_loan_limit, 1},
         {"chains", test_lossy_chains, G_N_ELEMENTS(loss_percents)},
         {NULL}};
     return support_run("credit", tests);
