--- a/caller/connection.c
+++ b/caller/connection.c
@@ -16,6 +16,14 @@
  * unread input resets the connection, which may destroy the answer.
  */
 #define LINGER_US (2 * BV_US_PER_S)
+/* A connection without requests: its objects and buffers. */
+#define CONNECTION_BYTES 2048
+/*
+ * How each response begins. A caller that ends its input may have closed its
+ * connection, or its sending side only. These bytes, sent ahead of the
+ * response, tell: a closed connection answers them with a reset.
+ */
+#define RESPONSE_START "HTTP/1.1 "
 
 struct bv_connection {
     const bv_connection_options_t *options;
@@ -30,9 +38,16 @@
     bv_output_t output;
     /* Input that was received but not parsed, since there was no room. */
     GByteArray *unread;
+    bv_byte_holder_t holder;
     /* No further request is read. */
     bool is_read_closed;
-    bool is_caller_gone;
+    /* The caller has sent all that it will. */
+    bool is_input_ended;
+    /* The same, or more input waits in the socket before its end. */
+    bool is_end_announced;
+    bool has_received_request;
+    /* RESPONSE_START was sent ahead of the next response. */
+    bool has_response_start;
     /* The last response is in the output. */
     bool is_ending;
     bool is_lingering;
@@ -74,6 +89,7 @@
         .limits = options->limits,
         .check_head = check_call_head,
         .context = connection,
+        .account = options->account,
     };
     connection->options = options;
     connection->fd = fd;
@@ -82,6 +98,10 @@
     connection->pipeline = bv_pipeline_create();
     connection->unread = g_byte_array_new();
     bv_output_init(&connection->output);
+    if (options->account != NULL) {
+        bv_byte_account_join(options->account, &connection->holder, connection,
+                             now_us);
+    }
     watch(connection, EPOLL_CTL_ADD, EPOLLIN | EPOLLRDHUP);
     return connection;
 }
@@ -109,8 +129,10 @@
 {
     bv_exchange_t *exchange;
     bool is_running;
-    if (!connection->is_caller_gone) {
-        report_disconnects(connection);
+    report_disconnects(connection);
+    if (connection->options->account != NULL) {
+        bv_byte_account_leave(connection->options->account,
+                              &connection->holder);
     }
     while ((exchange = bv_pipeline_remove_first(connection->pipeline,
                                                 &is_running)) != NULL) {
@@ -127,12 +149,67 @@
     g_free(connection);
 }
 
+static uint64_t
+held_bytes(const bv_connection_t *connection)
+{
+    return CONNECTION_BYTES +
+           bv_request_reader_held_bytes(connection->reader) +
+           connection->unread->len + bv_pipeline_bytes(connection->pipeline) +
+           connection->output.bytes;
+}
+
+/* Whether the caller has to send or to read before anything else happens. */
+static bool
+waits_for_caller(const bv_connection_t *connection)
+{
+    return !bv_output_is_empty(&connection->output) ||
+           bv_pipeline_is_empty(connection->pipeline);
+}
+
+static void
+update_account(bv_connection_t *connection)
+{
+    if (connection->options->account != NULL) {
+        bv_byte_account_set(connection->options->account, &connection->holder,
+                            connection->now_us, held_bytes(connection),
+                            waits_for_caller(connection));
+    }
+}
+
+static void
+record_progress(bv_connection_t *connection, size_t bytes)
+{
+    connection->active_us = connection->now_us;
+    bv_byte_account_move(&connection->holder, connection->now_us, bytes);
+}
+
+static bool
+is_memory_short(const bv_connection_t *connection)
+{
+    const bv_byte_account_t *account = connection->options->account;
+    return account != NULL &&
+           bv_byte_account_level(account) >= BV_BYTES_PAUSING;
+}
+
+/* Whether reading does not pause for lack of memory. */
+static bool
+may_read(const bv_connection_t *connection)
+{
+    const bv_byte_account_t *account = connection->options->account;
+    return account == NULL ||
+           bv_request_reader_is_reserved(connection->reader) ||
+           bv_byte_account_may_read(account, held_bytes(connection));
+}
+
+/* While memory is short, nothing is read ahead. */
 static bool
 has_room(const bv_connection_t *connection)
 {
     const bv_connection_limits_t *limits = connection->options->limits;
     bv_pipeline_limits_t bounds = {
-        .requests = (uint32_t)bv_limit(&limits->read_ahead_requests),
+        .requests = is_memory_short(connection)
+                        ? 1
+                        : (uint32_t)bv_limit(&limits->read_ahead_requests),
         .bytes = bv_limit(&limits->read_ahead_bytes),
     };
     return !connection->is_read_closed &&
@@ -144,6 +221,7 @@
 {
     bv_pipeline_t *pipeline = connection->pipeline;
     bv_exchange_t *exchange = received->exchange;
+    connection->has_received_request = true;
     bv_pipeline_add(pipeline, exchange, received->request_bytes);
     if (received->is_refused) {
         bv_pipeline_answer(pipeline, exchange, true, 0);
@@ -184,16 +262,20 @@
 }
 
 /*
- * A caller that shuts down its sending side counts as disconnected where
- * disconnects are reported; else it gets the answers to what it has sent.
+ * Sends the first bytes of the next response, if nothing else is to be written
+ * that would tell whether the caller still reads.
  */
 static void
-handle_end_of_input(bv_connection_t *connection)
+send_response_start(bv_connection_t *connection)
 {
-    connection->is_caller_gone = true;
-    connection->is_read_closed = true;
-    g_byte_array_set_size(connection->unread, 0);
-    report_disconnects(connection);
+    size_t size = strlen(RESPONSE_START);
+    if (connection->has_response_start ||
+        bv_pipeline_is_empty(connection->pipeline) ||
+        !bv_output_is_empty(&connection->output)) {
+        return;
+    }
+    connection->has_response_start = send(connection->fd, RESPONSE_START, size,
+                                          MSG_NOSIGNAL) == (ssize_t)size;
 }
 
 static bool
@@ -205,10 +287,11 @@
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
     }
     if (size == 0) {
-        handle_end_of_input(connection);
+        connection->is_input_ended = true;
+        connection->is_end_announced = true;
         return true;
     }
-    connection->active_us = connection->now_us;
+    record_progress(connection, (size_t)size);
     size_t parsed = parse(connection, buffer, (size_t)size);
     g_byte_array_append(connection->unread, (const guint8 *)buffer + parsed,
                         (guint)((size_t)size - parsed));
@@ -229,7 +312,12 @@
 {
     bv_response_t *response = exchange->response;
     bv_response_ending_t ending = bv_exchange_ending(exchange, is_last);
+    bool has_start = connection->has_response_start;
+    connection->has_response_start = false;
     bv_output_add(&connection->output, bv_response_end_head(response, ending));
+    if (has_start) {
+        bv_output_skip(&connection->output, strlen(RESPONSE_START));
+    }
     bv_output_add(&connection->output, g_steal_pointer(&response->body));
 }
 
@@ -274,7 +362,7 @@
 {
     ssize_t written = bv_output_write(&connection->output, connection->fd);
     if (written > 0) {
-        connection->active_us = connection->now_us;
+        record_progress(connection, (size_t)written);
     }
     return written >= 0;
 }
@@ -298,9 +386,6 @@
 {
     const bv_connection_options_t *options = connection->options;
     bv_exchange_t *exchange;
-    if (connection->is_caller_gone && options->reports_disconnects) {
-        return;
-    }
     while ((exchange = bv_pipeline_first_waiting(connection->pipeline)) !=
                NULL &&
            may_start(connection, exchange)) {
@@ -319,7 +404,7 @@
     if (!bv_output_is_empty(&connection->output)) {
         return true;
     }
-    if (connection->is_caller_gone) {
+    if (connection->is_input_ended) {
         return !connection->is_ending &&
                bv_pipeline_has_started(connection->pipeline);
     }
@@ -335,16 +420,20 @@
 is_reading(const bv_connection_t *connection)
 {
     return connection->is_lingering ||
-           (has_room(connection) && connection->unread->len == 0);
+           (has_room(connection) && connection->unread->len == 0 &&
+            may_read(connection));
 }
 
 static void
 update_watch(bv_connection_t *connection)
 {
     uint32_t events = 0;
-    if (!connection->is_caller_gone) {
-        events |= connection->options->reports_disconnects ? EPOLLRDHUP : 0;
-        events |= is_reading(connection) ? EPOLLIN : 0;
+    if (!connection->is_input_ended && is_reading(connection)) {
+        events |= EPOLLIN;
+    }
+    if (connection->options->reports_disconnects &&
+        !connection->is_end_announced) {
+        events |= EPOLLRDHUP;
     }
     if (!bv_output_is_empty(&connection->output)) {
         events |= EPOLLOUT;
@@ -369,7 +458,11 @@
         return false;
     }
     start_requests(connection);
+    if (connection->is_end_announced) {
+        send_response_start(connection);
+    }
     bool stays_open = end_if_done(connection);
+    update_account(connection);
     update_watch(connection);
     return stays_open;
 }
@@ -385,13 +478,12 @@
     if (connection->is_lingering) {
         return discard_input(connection);
     }
-    if ((events & EPOLLIN) != 0 && is_reading(connection)) {
-        if (!read_input(connection)) {
-            return false;
-        }
+    if ((events & EPOLLRDHUP) != 0) {
+        connection->is_end_announced = true;
     }
-    else if ((events & EPOLLRDHUP) != 0 && !connection->is_caller_gone) {
-        handle_end_of_input(connection);
+    if ((events & EPOLLIN) != 0 && is_reading(connection) &&
+        !read_input(connection)) {
+        return false;
     }
     return advance(connection);
 }
@@ -436,3 +528,27 @@
 {
     return bv_output_is_empty(&connection->output);
 }
+
+void
+bv_connection_resume(bv_connection_t *connection)
+{
+    update_watch(connection);
+}
+
+bv_listener_t *
+bv_connection_listener(const bv_connection_t *connection)
+{
+    return connection->options->listener;
+}
+
+int64_t
+bv_connection_idle_since_us(const bv_connection_t *connection)
+{
+    return waits_for_caller(connection) ? connection->active_us : INT64_MAX;
+}
+
+bool
+bv_connection_is_new(const bv_connection_t *connection)
+{
+    return !connection->has_received_request;
+}
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -83,6 +83,16 @@
       "calls refused with 503 since their key could not be judged")           \
     X(ACCESS_UNVERIFIED, "access_unverified",                                 \
       "calls without a key for a request that does not run here")             \
+    X(BODIES_REFUSED_MEMORY, "bodies_refused_memory",                         \
+      "request bodies not read, for lack of memory")                          \
+    X(BODIES_REFUSED_SIZE, "bodies_refused_size",                             \
+      "request bodies not read, larger than a node passes on")                \
+    X(CALLS_DELAYED_MEMORY, "calls_delayed_memory",                           \
+      "calls whose responses waited for memory")                              \
+    X(CONNECTIONS_CLOSED_MEMORY, "connections_closed_memory",                 \
+      "callers' connections closed for lack of memory")                       \
+    X(CONNECTIONS_CLOSED_DESCRIPTORS, "connections_closed_descriptors",       \
+      "idle callers' connections closed for new ones")                        \
     X(SPANS_SENT, "spans_sent", "trace spans exported")                       \
     X(SPANS_DROPPED, "spans_dropped", "trace spans lost")                     \
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -39,6 +39,8 @@
     X(UNAUTHORIZED, "unauthorized")                                           \
     X(CONFIG_BEHIND, "config_behind")                                         \
     X(QUOTA, "quota")                                                         \
-    X(CONNECTION_LOST, "connection_lost")
+    X(CONNECTION_LOST, "connection_lost")                                     \
+    X(NO_MEMORY, "no_memory")                                                 \
+    X(BODY_TOO_LARGE, "body_too_large")
 
 #endif
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -50,6 +50,10 @@
     /* Delay that a caller who is over quota is told. */
     int64_t quota_retry_us;
     bool waits_for_permit;
+    /* Memory reserved for the response. */
+    uint64_t expected_bytes;
+    /* Until when the call waits for memory; 0 if it does not. */
+    int64_t memory_until_us;
     uint16_t priority;
     /* The call entered the cluster here, and opened the credit ledger. */
     bool is_entry;
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -53,6 +53,9 @@
 /* Permits that this node lends and holds; see node/quotas.h. */
 typedef struct bv_quotas bv_quotas_t;
 
+/* See memory.h. */
+typedef struct bv_memory bv_memory_t;
+
 /* An event for the decision thread, which calls `run` with `data`. */
 typedef struct {
     void (*run)(bv_node_t *node, void *data);
@@ -121,6 +124,9 @@
     GQueue local_events;
     /* Peer messages that this node addresses to itself. */
     GQueue loopback_messages;
+    bv_memory_t *memory;
+    /* Owned by `memory`. */
+    bv_byte_account_t *account;
     int64_t now_us;
     int64_t started_us;
     uint64_t incarnation;
--- a/node/calls.c
+++ b/node/calls.c
@@ -3,6 +3,7 @@
 #include "berylvane/core/retry_after.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/keyed.h"
+#include "berylvane/node/memory.h"
 #include "berylvane/node/quotas.h"
 
 #include <string.h>
@@ -140,6 +141,7 @@
         state->timer = NULL;
     }
     state->answered = true;
+    bv_memory_call_ended(node, state, reply);
     reply_to_caller(node, state, &full_reply);
     g_hash_table_remove(node->calls, &state->tag);
     g_ptr_array_add(node->finished_calls, state);
@@ -329,7 +331,9 @@
         return;
     }
     if (!needs_key) {
-        bv_quotas_begin(node, state);
+        if (!bv_memory_delays(node, state)) {
+            bv_quotas_begin(node, state);
+        }
         return;
     }
     bv_keyed_begin(node, state);
--- a/node/loop.c
+++ b/node/loop.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/node/configs.h"
+#include "berylvane/node/memory.h"
 #include "berylvane/node/node.h"
 #include "berylvane/node/quotas.h"
 
@@ -173,7 +174,8 @@
 static int
 epoll_timeout_ms(const bv_node_t *node, int64_t limit_us)
 {
-    if (node->local_events.length > 0 || node->loopback_messages.length > 0) {
+    if (node->local_events.length > 0 || node->loopback_messages.length > 0 ||
+        bv_link_has_pending(node->link)) {
         return 0;
     }
     int64_t left_us = MAX(0, next_wakeup_us(node, limit_us) - node->now_us);
@@ -221,6 +223,7 @@
         run_local_events(node);
     }
     run_due_timers(node);
+    bv_memory_tick(node);
     bv_link_receive_pending(node->link);
     g_ptr_array_set_size(node->finished_calls, 0);
 }
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -63,6 +63,8 @@
     /* Headers Tenant-Id and Authorization of the last call; NULL for none. */
     char *account;
     char *authorization;
+    /* Body of the answers to paths that contain "/large"; may be NULL. */
+    GBytes *large_body;
 } platform_node_t;
 
 /* Zeroed before the first step. */
@@ -77,6 +79,8 @@
     uint32_t rendezvous_ms;
     /* Drain limit of the nodes; 0 selects the default. */
     uint32_t drain_limit_ms;
+    /* Further members of the nodes' settings, each followed by a comma. */
+    const char *extra_settings;
 } platform_fixture_t;
 
 void platform_start_store(platform_fixture_t *fixture);
--- a/tests/test_deploy_template.c
+++ b/tests/test_deploy_template.c
@@ -19,7 +19,10 @@
     "\"Control\": \"10.1.0.8:8306\", \"Ready\": \"10.1.0.8:8302\"}, "         \
     "\"InternalPorts\": [7620, 7635], "                                       \
     "\"Platform\": {\"Address\": \"10.200.1.7:8309\"}, "                      \
-    "\"Seeds\": [\"10.1.0.9:8306\"], \"Bounds\": {" bounds "}}"
+    "\"Seeds\": [\"10.1.0.9:8306\"], \"Bounds\": {" bounds "}"
+
+#define LIMITS                                                                \
+    ", \"Limits\": {\"MemoryMb\": 260, \"MaxFds\": 4100, \"Cpu\": 0.4}"
 
 typedef struct {
     const char *fields;
@@ -32,6 +35,8 @@
     int64_t quota_window_ms;
     int64_t quota_overage_percent;
     int64_t quota_slack;
+    int64_t memory_limit_mb;
+    int64_t descriptor_limit;
 } template_case_t;
 
 #define DEFAULT_DRAIN_LIMIT_MS 120000
@@ -41,22 +46,25 @@
 static const template_case_t cases[] = {
     {FIELDS("\"GraceS\": 6, \"ConfigApplyMs\": 2500, \"BudgetSlack\": 50, "
             "\"BudgetWindowS\": 10, \"RetryBudgetRatio\": 0.2, "
-            "\"Unknown\": true"),
-     5150, DRAIN_NOTICE_MS, 2500, 48, DEFAULT_REVOKE_MS, false, 5000, 10, 20},
-    {FIELDS("\"GraceS\": 3"), 2150, 1182, 0, 0, DEFAULT_REVOKE_MS, false, 5000,
-     10, 20},
-    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": true"),
-     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, true, 5000, 10, 20},
-    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": false"),
-     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, false, 5000, 10, 20},
-    {FIELDS("\"BudgetSlack\": 124"), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS,
-     0, 122, DEFAULT_REVOKE_MS, false, 5000, 10, 20},
-    {FIELDS(""), DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0,
-     DEFAULT_REVOKE_MS, false, 5000, 10, 20},
+            "\"Unknown\": true") LIMITS "}",
+     5150, DRAIN_NOTICE_MS, 2500, 48, DEFAULT_REVOKE_MS, false, 5000, 10, 20,
+     260, 4100},
+    {FIELDS("\"GraceS\": 3") "}", 2150, 1182, 0, 0, DEFAULT_REVOKE_MS, false,
+     5000, 10, 20, 0, 0},
+    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": true") "}",
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, true, 5000, 10, 20,
+     0, 0},
+    {FIELDS("\"RevokeMs\": 4000, \"RevokeFailClosed\": false") "}",
+     DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, 4000, false, 5000, 10, 20,
+     0, 0},
+    {FIELDS("\"BudgetSlack\": 124") "}", DEFAULT_DRAIN_LIMIT_MS,
+     DRAIN_NOTICE_MS, 0, 122, DEFAULT_REVOKE_MS, false, 5000, 10, 20, 0, 0},
+    {FIELDS("") LIMITS "}", DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0,
+     DEFAULT_REVOKE_MS, false, 5000, 10, 20, 260, 4100},
     {FIELDS("\"QuotaWindowS\": 2.5, \"QuotaOverage\": 0.29, "
-            "\"QuotaSlack\": 30"),
+            "\"QuotaSlack\": 30") "}",
      DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, DEFAULT_REVOKE_MS, false,
-     2500, 29, 30},
+     2500, 29, 30, 0, 0},
 };
 
 static bv_settings_t *
@@ -112,6 +120,8 @@
     ck_assert_int_eq(settings->config_apply_ms, row->config_apply_ms);
     ck_assert_int_eq(settings->revoke_ms, row->revoke_ms);
     ck_assert_int_eq(settings->revoke_fails_closed, row->revoke_fails_closed);
+    ck_assert_int_eq(settings->memory_limit_mb, row->memory_limit_mb);
+    ck_assert_int_eq(settings->descriptor_limit, row->descriptor_limit);
     ck_assert_int_eq(shared_reserve(dialect), row->shared_reserve);
     ck_assert_int_eq(settings->quota_window_ms, row->quota_window_ms);
     ck_assert_int_eq(settings->quota_overage_percent,
