--- a/tests/test_access_hold.c
+++ b/tests/test_access_hold.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/gauges.h"
 #include "berylvane/common/program.h"
 #include "berylvane/node/access.h"
+#include "berylvane/node/memory.h"
 #include "e2e/raw.h"
 #include "support.h"
 
@@ -147,6 +148,7 @@
         .finished_calls =
             g_ptr_array_new_with_free_func(bv_call_state_destroy),
     };
+    bv_memory_create(node);
     bv_access_create(node);
 }
 
@@ -160,6 +162,7 @@
     g_hash_table_destroy(node->calls);
     g_hash_table_destroy(node->served_by_request);
     bv_access_destroy(node);
+    bv_memory_destroy(node);
     bv_backpressure_table_destroy(node->called_backpressure);
     bv_journal_destroy(node->journal);
     bv_config_fetcher_destroy(node->config_fetcher);
