Quota: an account may use its burst in each window

The bound that nodes must keep allows rate x window + burst in any window. A bucket that gains the rate alone lets a steady caller use the burst once.

A bucket now gains the quota of a window in a window; the limit by window still bounds what is lent, and the capacity is the burst and a quarter of the allowed overage.

--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -11,12 +11,6 @@
  * permits that are lent before a window and used in it.
  */
 #define OVERAGE_SHARE 0.25
-/*
- * A bucket holds what arrives in this time beyond the burst. It is less than
- * the time for which nobody lends between two lessors, so that both together
- * stay within the window's quota.
- */
-#define EXTRA_TIME_S 0.5
 /* Part of a second whose arrivals a bucket holds at least. */
 #define LEAST_CAPACITY_DIVISOR 20
 
@@ -104,8 +98,22 @@
     if (lessor->bounds.window_us == 0) {
         return MAX(limit->burst, least);
     }
-    return limit->burst + MAX(least, limit->rate_per_s * EXTRA_TIME_S) +
-           overage_share(lessor, limit);
+    return MAX(limit->burst, least) + overage_share(lessor, limit);
+}
+
+/*
+ * Returns the permits that a bucket gains in a second. With bounds, an account
+ * may use its burst in each window.
+ */
+static double
+gain_per_s(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
+{
+    const bv_quota_bounds_t *bounds = &lessor->bounds;
+    if (bounds->window_us == 0) {
+        return limit->rate_per_s;
+    }
+    return bv_quota_in_window(limit, bounds) * US_PER_S /
+           (double)bounds->window_us;
 }
 
 /* Returns how many permits may still be lent in this window. */
@@ -128,7 +136,7 @@
         return;
     }
     double gained = (double)(now_us - account->filled_us) *
-                    account->limit.rate_per_s / US_PER_S;
+                    gain_per_s(lessor, &account->limit) / US_PER_S;
     account->permits =
         MIN(account->permits + gained, capacity_of(lessor, &account->limit));
     account->backlog = MAX(account->backlog - gained, 0);
@@ -224,7 +232,7 @@
 refuse(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us,
        uint32_t count, bv_quota_reply_t *reply)
 {
-    double rate = account->limit.rate_per_s;
+    double rate = gain_per_s(lessor, &account->limit);
     account->refused += count;
     account->backlog += count;
     double wait_us = MAX(1 - account->permits, 0) / rate * US_PER_S;
--- a/include/berylvane/core/quota_lessor.h
+++ b/include/berylvane/core/quota_lessor.h
@@ -7,12 +7,12 @@
  * quota_lessor - token buckets from which a node lends permits
  *
  * Handles an account that sends more than its limit through any number of
- * nodes. Two limits hold. In any window, no more is lent than the quota and a
- * part of the allowed overage. A token bucket spreads this over the window;
- * it starts empty, so that the permits of successive lessors stay within the
- * quota as well. Its capacity is the burst, what arrives in half a second, and
- * a part of the allowed overage: callers that come in groups, and accounts
- * that use little, are not refused below their quota.
+ * nodes. Two limits hold. In any window, no more is lent than the quota of a
+ * window and a part of the allowed overage. A token bucket spreads this over
+ * the window; it gains the quota of a window in a window. It starts empty, so
+ * that the permits of successive lessors stay within the bounds as well. Its
+ * capacity is the burst and a part of the allowed overage, so that accounts
+ * that use little are not refused below their quota.
  */
 typedef struct {
     const char *account;
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -19,7 +19,7 @@
  * nobody lends between two lessors.
  */
 #define OWN_SETTLE_US (2300 * BV_US_PER_MS)
-/* More than the time whose arrivals a bucket holds beyond the burst. */
+/* More than the time that a permit may be on its way. */
 #define HANDOVER_US (600 * BV_US_PER_MS)
 /* Less than the shortest time from a suspicion to an eviction. */
 #define SUSPENSION_US BV_US_PER_S
--- a/tests/quota_cluster.h
+++ b/tests/quota_cluster.h
@@ -4,6 +4,7 @@
 #include "berylvane/core/quota_holder.h"
 #include "berylvane/core/quota_lessor.h"
 #include "berylvane/core/quota_members.h"
+#include "berylvane/core/quota_window.h"
 #include "sim.h"
 
 /*
@@ -70,6 +71,7 @@
     /* Permits in one bucket that all calls of the cluster would use. */
     double ideal_permits;
     int64_t ideal_filled_us;
+    bv_quota_window_t ideal_window;
     uint64_t arrived;
     /* Calls that the one bucket would admit. */
     uint64_t ideal;
