Nodes exchange load reports: setting placement

Callers of a fleet whose targets differ need the reports that placement decides by; answers carried only a threshold and a wait.

With the setting placement (off, observe, on; default off) a node measures its target and reads reports. A DISPATCH asks for a report by a field that DISPATCH did not use, and an answer has four more fields only if it was asked for them. So a node with placement off sends what it sent before, and nodes without this code are never sent the longer form: the order of an upgrade does not matter. Stored answers have no report, which would be old when they are sent again. The measurements start anew with another instance of the target.

--- a/core/router.c
+++ b/core/router.c
@@ -67,6 +67,8 @@
     int64_t first_called_us;
     /* Hash of the route that was called last. */
     uint32_t last_route_hash;
+    uint64_t calls;
+    uint64_t observed_calls;
     bv_outlier_t outlier;
     bv_placement_t placement;
 } entry_t;
@@ -470,7 +472,8 @@
 observe_placement(choice_t *choice, const entry_t *chosen, bv_picked_t *picked)
 {
     choice->by_placement = true;
-    const entry_t *other = choose_member(choice);
+    entry_t *other = choose_member(choice);
+    other->observed_calls++;
     picked->differs = other != chosen;
     g_strlcpy(picked->observed_name, other->member.name, BV_NAME_BYTES);
 }
@@ -493,6 +496,7 @@
     if (entry->first_called_us == 0) {
         entry->first_called_us = choice->now_us;
     }
+    entry->calls++;
     entry->last_route_hash = choice->request->route_hash;
     if (choice->router->options.placement != BV_PLACEMENT_OFF) {
         bv_placement_record_send(
@@ -756,6 +760,8 @@
         .report = placement->report,
         .reported_us = placement->reported_us,
         .in_flight = entry->in_flight,
+        .calls = entry->calls,
+        .observed_calls = entry->observed_calls,
         .expected_us = expected_us,
         .weight = least_cost_us(entry->service, now_us) / MAX(1, expected_us),
     };
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -8,6 +8,7 @@
 
 #define NODE_TIMEOUT_US (5 * BV_US_PER_S)
 #define MS_PER_S 1000
+#define US_PER_MS 1000
 
 static json_t *
 send_to_node(const ctl_options_t *options, const char *method,
@@ -178,6 +179,54 @@
     }
 }
 
+static void
+print_placed_target(const json_t *target)
+{
+    const char *name;
+    const char *service;
+    const char *reason;
+    json_int_t reason_age_ms;
+    json_int_t limit;
+    json_int_t slots;
+    json_int_t load;
+    json_int_t calls;
+    json_int_t observed_calls;
+    json_int_t delay_us;
+    double weight;
+    if (json_unpack((json_t *)target,
+                    "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:F}",
+                    "name", &name, "service", &service, "reason", &reason,
+                    "reason_age_ms", &reason_age_ms, "limit", &limit, "slots",
+                    &slots, "load", &load, "calls", &calls, "observed_calls",
+                    &observed_calls, "delay_us", &delay_us, "weight",
+                    &weight) == 0) {
+        printf("target %-17s %-16s load %" JSON_INTEGER_FORMAT
+               " limit %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT
+               ", delay %.1f ms, weight %.2f, calls %" JSON_INTEGER_FORMAT
+               ", would be %" JSON_INTEGER_FORMAT ", %s for %.1f s\n",
+               name, service, load, limit, slots, (double)delay_us / US_PER_MS,
+               weight, calls, observed_calls, reason,
+               (double)reason_age_ms / MS_PER_S);
+    }
+}
+
+/* Prints the targets that the node calls, unless placement is off. */
+static void
+print_placement(const json_t *status)
+{
+    const json_t *placement = json_object_get(status, "placement");
+    const char *mode = json_string_value(json_object_get(placement, "mode"));
+    size_t index;
+    json_t *target;
+    if (mode == NULL) {
+        return;
+    }
+    printf("placement: %s\n", mode);
+    json_array_foreach(json_object_get(placement, "targets"), index, target) {
+        print_placed_target(target);
+    }
+}
+
 int
 ctl_status(const ctl_options_t *options)
 {
@@ -195,6 +244,7 @@
     }
     print_sites(members);
     print_config(status);
+    print_placement(status);
     json_decref(status);
     return 0;
 }
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -34,6 +34,9 @@
     X(BYPASSED, "bypassed", "work of departments in bypass")                  \
     X(EXPIRED, "expired", "work dropped after its deadline")                  \
     X(CANCELLED, "cancelled", "work cancelled by its caller")                 \
+    X(PLACEMENT_REPORTS, "placement_reports", "answers with a load report")   \
+    X(PLACEMENT_SPILLED, "placement_spilled", "calls placed in a far tier")   \
+    X(PLACEMENT_DIFFERED, "placement_differed", "observed other choices")     \
     X(CALLERS_GONE, "callers_gone", "callers gone before their answer")       \
     X(CLAIMS, "claims", "writes of claims to the table service")              \
     X(CLAIM_BATCHES, "claim_batches", "transactions that claims shared")      \
--- a/include/berylvane/core/router.h
+++ b/include/berylvane/core/router.h
@@ -88,6 +88,10 @@
     bv_capacity_report_t report;
     int64_t reported_us;
     uint32_t in_flight;
+    /* Calls that were sent to it, and those that placement would have sent to
+     * it, in BV_PLACEMENT_OBSERVE. */
+    uint64_t calls;
+    uint64_t observed_calls;
     /* Expected completion time of a call on the route that was called last. */
     double expected_us;
     /* That of the best member of the service, as a share of this one's. */
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -66,6 +66,8 @@
     int64_t started_us;
     int64_t arrived_wall_us;
     int64_t arrived_us;
+    /* Work that ran at the target when this started, with this. */
+    uint32_t running_at_start;
     bool started;
     /* The work holds an admission slot. */
     bool admitted;
@@ -83,6 +85,10 @@
     bv_trace_t trace;
 };
 
+/* placement: records work that the target has run. */
+void bv_node_placement_record(bv_node_t *node, const bv_served_t *served,
+                              const bv_target_result_t *result);
+
 /* Sends the first attempt of a call; a call with a key must hold the key. */
 void bv_calls_start_attempts(bv_node_t *node, bv_call_state_t *state);
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -6,6 +6,7 @@
 #include "berylvane/common/ring.h"
 #include "berylvane/core/admission.h"
 #include "berylvane/core/backpressure.h"
+#include "berylvane/core/capacity.h"
 #include "berylvane/core/claim.h"
 #include "berylvane/core/config.h"
 #include "berylvane/core/config_fetcher.h"
@@ -108,6 +109,18 @@
     bool has_read_first_range;
 } bv_rendezvous_t;
 
+/* State of placement; `capacity` is NULL while the setting is off. */
+typedef struct {
+    bv_capacity_t *capacity;
+    /* Target incarnation that `capacity` was measured on. */
+    char instance[BV_INSTANCE_BYTES];
+    int64_t log_due_us;
+    /* Counts since the last log line. */
+    uint32_t calls;
+    uint32_t spilled;
+    uint32_t differed;
+} bv_node_placement_t;
+
 struct bv_node {
     bv_settings_t *settings;
     const bv_dialect_t *dialect;
@@ -154,6 +167,7 @@
     bv_router_t *router;
     bv_traffic_split_t *traffic_split;
     bv_admission_t *admission;
+    bv_node_placement_t placement;
     bv_retry_budgets_t *retry_budgets;
     /* Backpressure of the routes that this node calls. */
     bv_backpressure_table_t *called_backpressure;
@@ -443,6 +457,38 @@
 /* Frees a call that was built from a peer's message. */
 void bv_key_peers_call_destroy(bv_call_t *call);
 
+/*
+ * placement: measures the local target, exchanges load reports with other
+ * nodes, and shows operators how calls are placed. All functions but
+ * bv_node_placement_create() do nothing while the setting `placement` is off.
+ */
+void bv_node_placement_create(bv_node_t *node);
+void bv_node_placement_destroy(bv_node_t *node);
+
+/* Counts a choice of the router. */
+void bv_node_placement_count(bv_node_t *node, const bv_picked_t *picked);
+
+/* Asks for a load report in the answer to a DISPATCH. */
+void bv_node_placement_request_report(const bv_node_t *node,
+                                      bv_peer_message_t *dispatch);
+
+/* Adds a load report to the answer if the DISPATCH asks for it. */
+void bv_node_placement_add_report(const bv_node_t *node,
+                                  const bv_peer_message_t *dispatch,
+                                  uint32_t route_hash, int64_t served_us,
+                                  bv_peer_message_t *answer);
+
+/* Copies the report of an answer, if it has one. */
+void bv_node_placement_read_report(const bv_node_t *node,
+                                   const bv_peer_message_t *answer,
+                                   bv_feedback_t *feedback);
+
+/* Writes the log line that is due. */
+void bv_node_placement_tick(bv_node_t *node);
+
+/* Adds what callers know of each target to the status. */
+void bv_node_placement_render(const bv_node_t *node, json_t *status);
+
 /* status: answers the requests of operators; `call` is a bv_call_t. */
 void bv_status_handle_query(bv_node_t *node, void *call);
 
--- a/include/berylvane/node/settings.h
+++ b/include/berylvane/node/settings.h
@@ -72,6 +72,8 @@
     char *ticket_key_previous;
     /* A bv_log_level_t. */
     int64_t log_level;
+    /* A bv_placement_mode_t. */
+    int64_t placement;
     int64_t body_limit_bytes;
     /* Bounds of what is read ahead from one caller's connection. */
     int64_t read_ahead_requests;
--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -1,6 +1,7 @@
 #ifndef BERYLVANE_PEER_MESSAGE_H
 #define BERYLVANE_PEER_MESSAGE_H
 
+#include "berylvane/core/capacity.h"
 #include "berylvane/core/membership.h"
 #include "berylvane/core/session.h"
 
@@ -16,6 +17,13 @@
 #define BV_PEER_HEADERS_LIMIT_BYTES 16384
 #define BV_PEER_BODY_LIMIT_BYTES (8 * 1024 * 1024)
 
+/*
+ * Value of `generation` in a DISPATCH whose sender reads capacity reports.
+ * Nodes that do not know reports ignore the field in a DISPATCH, so they are
+ * never sent an answer in the longer form.
+ */
+#define BV_PEER_WANTS_CAPACITY 1
+
 #define BV_PEER_ERROR (bv_peer_error_quark())
 GQuark bv_peer_error_quark(void);
 
@@ -66,9 +74,10 @@
  * The other fields that a kind uses:
  *
  * - DISPATCH: session, attempt, request_id to remaining_us, digest, method,
- *   host, path, headers, idempotency_key, customer, label, traceparent, body
+ *   host, path, headers, idempotency_key, customer, label, traceparent, body,
+ *   generation (BV_PEER_WANTS_CAPACITY, else 0)
  * - ANSWER: attempt, credit, outcome, reason, status, threshold, wait_us,
- *   digest, headers, body
+ *   digest, headers, body; and capacity, served_us if the DISPATCH wanted them
  * - OPEN: session
  * - FENCE: session, attempt
  * - FENCED: attempt, served_state
@@ -117,6 +126,13 @@
      */
     uint16_t threshold;
     int64_t wait_us;
+    /*
+     * Load of the sender's target, and the time that the call spent at the
+     * sender. The fields are encoded only if has_capacity is set.
+     */
+    bool has_capacity;
+    bv_capacity_report_t capacity;
+    int64_t served_us;
     bv_served_state_t served_state;
     uint64_t generation;
     /* Digest of the message, of the body or of the configuration. */
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -53,6 +53,7 @@
     message->to_incarnation = attempt->incarnation;
     message->session = attempt->session;
     message->attempt = attempt->id;
+    bv_node_placement_request_report(node, message);
     message->is_long_running = state->route->is_long_running;
     message->is_idempotent = state->route->is_idempotent;
     message->bypasses_admission = state->bypasses_admission;
--- a/node/decisions.c
+++ b/node/decisions.c
@@ -94,6 +94,7 @@
         node->load_log_due_us = node->now_us + LOAD_LOG_PERIOD_US;
         log_load(node);
     }
+    bv_node_placement_tick(node);
     if (node->now_us >= node->suppressed_log_due_us) {
         node->suppressed_log_due_us = node->now_us + SUPPRESSED_LOG_PERIOD_US;
         log_suppressed(node);
--- a/node/node.c
+++ b/node/node.c
@@ -79,7 +79,10 @@
         .callers_limit = SESSION_CALLERS_LIMIT,
     };
     bv_admission_options_t admission = {.slots = 0, .queue_limit = 1};
-    bv_router_options_t router = {.random = node->random};
+    bv_router_options_t router = {
+        .placement = (bv_placement_mode_t)node->settings->placement,
+        .random = node->random,
+    };
     g_strlcpy(router.name, node->settings->name, BV_NAME_BYTES);
     g_strlcpy(router.data_centre, node->settings->data_centre, BV_NAME_BYTES);
     g_strlcpy(router.region, node->settings->region, BV_NAME_BYTES);
@@ -89,6 +92,7 @@
     bv_keyed_create(node);
     node->admission = bv_admission_create(&admission);
     node->router = bv_router_create(&router);
+    bv_node_placement_create(node);
     node->traffic_split = bv_traffic_split_create(node->random);
     node->retry_budgets = bv_retry_budgets_create();
     node->called_backpressure = bv_backpressure_table_create();
@@ -325,6 +329,7 @@
     bv_journal_destroy(node->journal);
     bv_membership_destroy(node->membership);
     bv_router_destroy(node->router);
+    bv_node_placement_destroy(node);
     bv_traffic_split_destroy(node->traffic_split);
     bv_retry_budgets_destroy(node->retry_budgets);
     bv_backpressure_table_destroy(node->called_backpressure);
--- a/node/routing.c
+++ b/node/routing.c
@@ -159,7 +159,11 @@
         .excluded = excluded,
         .excluded_count = excluded_count,
     };
-    return bv_router_pick(node->router, node->now_us, &pick, picked, reason);
+    if (!bv_router_pick(node->router, node->now_us, &pick, picked, reason)) {
+        return false;
+    }
+    bv_node_placement_count(node, picked);
+    return true;
 }
 
 void
@@ -188,6 +192,7 @@
             .threshold = message->threshold,
             .wait_us = message->wait_us,
         };
+        bv_node_placement_read_report(node, message, &feedback);
         bv_router_settle(node->router, node->now_us, attempts[i].member,
                          &feedback);
     }
--- a/node/serve.c
+++ b/node/serve.c
@@ -88,6 +88,7 @@
         create_answer(node, dispatch, BV_OUTCOME_NOT_RUN, reason);
     answer->credit = dispatch->credit;
     bv_node_count_reason(reason);
+    bv_node_placement_add_report(node, dispatch, 0, 0, answer);
     bv_peers_answer(node, dispatch, answer);
 }
 
@@ -188,6 +189,7 @@
     bv_node_record_decision(node, &decision);
     served->started = true;
     served->started_us = node->now_us;
+    served->running_at_start = bv_admission_running(node->admission);
     bv_credits_open(node->credits, &dispatch->request_id, dispatch->credit);
     bv_parents_add(node, served);
     send_to_target(node, served);
@@ -426,6 +428,7 @@
     if (result->reason == BV_REASON_CONNECT) {
         bv_target_set_unreachable(node);
     }
+    bv_node_placement_record(node, served, result);
     if (served->admitted) {
         release_slot(node, served, result);
     }
@@ -446,6 +449,9 @@
         answer->body = g_bytes_ref(result->body);
     }
     bv_answer_cache_add(node->answer_cache, &served->key, answer);
+    /* A stored answer has no report, which would be old when it is sent. */
+    bv_node_placement_add_report(node, dispatch, served->route_hash,
+                                 node->now_us - served->arrived_us, answer);
     export_span(node, served, answer);
     bv_peers_answer(node, dispatch, answer);
     bv_serve_remove(node, served);
--- a/node/settings.c
+++ b/node/settings.c
@@ -15,6 +15,9 @@
 static const char *const log_level_names[] = {"debug", "info", "warn", "error",
                                               NULL};
 
+/* In the order of bv_placement_mode_t. */
+static const char *const placement_names[] = {"off", "observe", "on", NULL};
+
 #define TEXT(key, member, is_required, most_bytes)                            \
     {                                                                         \
         .name = key, .kind = BV_FIELD_STRING,                                 \
@@ -71,6 +74,10 @@
      .kind = BV_FIELD_CHOICE,
      .offset = offsetof(bv_settings_t, log_level),
      .choices = log_level_names},
+    {.name = "placement",
+     .kind = BV_FIELD_CHOICE,
+     .offset = offsetof(bv_settings_t, placement),
+     .choices = placement_names},
     NUMBER("body_limit_bytes", body_limit_bytes, false, 1024, 8388608),
     NUMBER("read_ahead_requests", read_ahead_requests, false, 1, 64),
     NUMBER("read_ahead_bytes", read_ahead_bytes, false, 1024, 8388608),
--- a/node/status.c
+++ b/node/status.c
@@ -61,7 +61,7 @@
 {
     json_int_t generation =
         node->config != NULL ? (json_int_t)node->config->generation : 0;
-    return json_pack(
+    json_t *status = json_pack(
         "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o}",
         "name", node->settings->name, "data_centre",
         node->settings->data_centre, "region", node->settings->region,
@@ -74,6 +74,8 @@
         (json_int_t)bv_admission_limit(node->admission), "config",
         render_config(node, (uint64_t)generation), "members",
         render_members(node));
+    bv_node_placement_render(node, status);
+    return status;
 }
 
 static void
--- a/peer/message.c
+++ b/peer/message.c
@@ -142,9 +142,23 @@
 #define HEADER_FIELD_COUNT 7
 #define CALL_FIELD_COUNT 16
 #define ANSWER_FIELD_COUNT 8
+/* Fields of a capacity report, which follow the others. */
+#define CAPACITY_FIELD_COUNT 4
 #define MESSAGE_FIELD_COUNT                                                   \
     (HEADER_FIELD_COUNT + CALL_FIELD_COUNT + ANSWER_FIELD_COUNT + 1)
 
+static void
+pack_capacity(msgpack_packer *packer, const bv_peer_message_t *message)
+{
+    const bv_capacity_report_t *capacity = &message->capacity;
+    msgpack_pack_uint64(packer, capacity->load);
+    msgpack_pack_uint64(packer, capacity->usable);
+    msgpack_pack_uint64(
+        packer, (uint64_t)CLAMP(capacity->service_us, 0, REMAINING_LIMIT_US));
+    msgpack_pack_uint64(
+        packer, (uint64_t)CLAMP(message->served_us, 0, REMAINING_LIMIT_US));
+}
+
 GBytes *
 bv_peer_message_encode(const bv_peer_message_t *message)
 {
@@ -152,7 +166,10 @@
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, MESSAGE_FIELD_COUNT);
+    msgpack_pack_array(&packer,
+                       message->has_capacity
+                           ? MESSAGE_FIELD_COUNT + CAPACITY_FIELD_COUNT
+                           : MESSAGE_FIELD_COUNT);
     pack_header(&packer, message);
     pack_call(&packer, message);
     pack_answer(&packer, message);
@@ -164,6 +181,9 @@
         const void *data = g_bytes_get_data(message->body, &size);
         bv_pack_binary(&packer, data, size);
     }
+    if (message->has_capacity) {
+        pack_capacity(&packer, message);
+    }
     GBytes *bytes = g_bytes_new_with_free_func(buffer.data, buffer.size, free,
                                                buffer.data);
     return bytes;
@@ -220,6 +240,17 @@
     message->digest = bv_unpack_number(unpack, UINT64_MAX);
 }
 
+static void
+unpack_capacity(bv_unpack_t *unpack, bv_peer_message_t *message)
+{
+    bv_capacity_report_t *capacity = &message->capacity;
+    capacity->load = (uint32_t)bv_unpack_number(unpack, UINT32_MAX);
+    capacity->usable = (uint32_t)bv_unpack_number(unpack, UINT32_MAX);
+    capacity->service_us =
+        (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
+    message->served_us = (int64_t)bv_unpack_number(unpack, REMAINING_LIMIT_US);
+}
+
 static bv_peer_message_t *
 unpack_message(const msgpack_object *root, GError **error)
 {
@@ -240,8 +271,15 @@
     unpack_call(&unpack, message);
     unpack_answer(&unpack, message);
     message->body = bv_unpack_bytes(&unpack, BV_PEER_BODY_LIMIT_BYTES);
+    uint32_t field_count = MESSAGE_FIELD_COUNT;
+    if (message->kind == BV_PEER_ANSWER &&
+        root->via.array.size > MESSAGE_FIELD_COUNT) {
+        field_count += CAPACITY_FIELD_COUNT;
+        message->has_capacity = true;
+        unpack_capacity(&unpack, message);
+    }
     if (unpack.has_failed || message->kind == 0 || message->from[0] == '\0' ||
-        root->via.array.size != MESSAGE_FIELD_COUNT) {
+        root->via.array.size != field_count) {
         g_set_error(error, BV_PEER_ERROR, BV_PEER_ERROR_INVALID,
                     "field %u is invalid or the field count is wrong",
                     unpack.next);
--- a/standin/cluster/settings.c
+++ b/standin/cluster/settings.c
@@ -131,6 +131,7 @@
         json_decref(link_addresses);
     }
     json_object_update(settings, json_object_get(cluster->deployment, "node"));
+    json_object_update(settings, json_object_get(instance->service, "node"));
     return settings;
 }
 
