Placement: views in linear time, restarts are not overdue

The log line and the status computed the least delay of a service once for each of its members: with 79 services of 72 members some 400,000 estimates each 5 s in the thread that serves calls. It is now computed once for each service. The state is brought up to date when it is shown, so that a target that never answers is shown as overdue.

A target that restarted while calls to its earlier incarnation were open counted as overdue at once, since the expected time was forgotten. test_restart fails before the change and passes after it.

--- a/core/placement.c
+++ b/core/placement.c
@@ -47,10 +47,12 @@
 {
     uint32_t in_flight = placement->in_flight;
     int64_t silent_since_us = placement->silent_since_us;
+    double expected_us = placement->expected_us;
     memset(placement, 0, sizeof(*placement));
     placement->slowness = 1;
     placement->in_flight = in_flight;
     placement->silent_since_us = silent_since_us;
+    placement->expected_us = expected_us;
     placement->state = BV_PLACEMENT_UNKNOWN;
 }
 
--- a/core/router.c
+++ b/core/router.c
@@ -747,7 +747,8 @@
 }
 
 static void
-fill_view(const entry_t *entry, int64_t now_us, bv_router_view_t *view)
+fill_view(const entry_t *entry, int64_t now_us, double least_us,
+          bv_router_view_t *view)
 {
     const bv_placement_t *placement = &entry->placement;
     double expected_us = view_cost_us(entry, now_us);
@@ -763,10 +764,30 @@
         .calls = entry->calls,
         .observed_calls = entry->observed_calls,
         .expected_us = expected_us,
-        .weight = least_cost_us(entry->service, now_us) / MAX(1, expected_us),
+        .weight = least_us / MAX(1, expected_us),
     };
 }
 
+static void
+view_service(const service_t *service, int64_t now_us,
+             void (*callback)(void *context, const bv_router_view_t *view),
+             void *context)
+{
+    double least_us = least_cost_us(service, now_us);
+    for (int i = 0; i < BV_TIER_END; i++) {
+        for (guint j = 0; j < service->tiers[i]->len; j++) {
+            entry_t *entry = service->tiers[i]->pdata[j];
+            if (is_viewed(entry)) {
+                bv_router_view_t view;
+                bv_placement_update_state(&entry->placement, now_us,
+                                          entry->member.slots);
+                fill_view(entry, now_us, least_us, &view);
+                callback(context, &view);
+            }
+        }
+    }
+}
+
 void
 bv_router_foreach(const bv_router_t *router, int64_t now_us,
                   void (*callback)(void *context,
@@ -778,13 +799,8 @@
     if (router->options.placement == BV_PLACEMENT_OFF) {
         return;
     }
-    g_hash_table_iter_init(&iterator, router->entries);
+    g_hash_table_iter_init(&iterator, router->services);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const entry_t *entry = value;
-        if (is_viewed(entry)) {
-            bv_router_view_t view;
-            fill_view(entry, now_us, &view);
-            callback(context, &view);
-        }
+        view_service(value, now_us, callback, context);
     }
 }
--- a/include/berylvane/core/router.h
+++ b/include/berylvane/core/router.h
@@ -135,8 +135,8 @@
                                  const char *service);
 
 /*
- * Calls `callback` for each member that can be called and has been called.
- * Does nothing while placement is off.
+ * Calls `callback` for each member that can be called and has been called, and
+ * updates the states that it shows. Does nothing while placement is off.
  */
 void bv_router_foreach(const bv_router_t *router, int64_t now_us,
                        void (*callback)(void *context,
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -406,6 +406,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a target that counts as overdue at once when it restarts
+ * while calls to its earlier incarnation are open.
+ */
+START_TEST(test_restart)
+{
+    bv_placement_t placement = {0};
+    int64_t now_us = 1000000;
+    bv_placement_reset(&placement);
+    bv_placement_record_send(&placement, now_us, SERVICE_US);
+    bv_placement_reset(&placement);
+    bv_placement_update_state(&placement, now_us + SERVICE_US, SLOTS);
+    ck_assert_str_eq(bv_placement_state_name(placement.state), "unknown");
+    bv_placement_update_state(&placement, now_us + 4 * SERVICE_US, SLOTS);
+    ck_assert_str_eq(bv_placement_state_name(placement.state), "overdue");
+}
+END_TEST
+
 /*
  * Guards against calls that leave all at once or go back and forth: the share
  * grows in steps, keeps its value while the tiers are equal, and falls.
@@ -442,6 +460,7 @@
         {"sudden_change", test_sudden_change, 1},
         {"downstream", test_downstream, 1},
         {"expectation", test_expectation, G_N_ELEMENTS(expectation_cases)},
+        {"restart", test_restart, 1},
         {"spill", test_spill, 1},
         {NULL}};
     return support_run("placement", tests);
