--- a/node/status.c
+++ b/node/status.c
@@ -89,7 +89,7 @@
 {
     json_int_t generation =
         node->config != NULL ? (json_int_t)node->config->generation : 0;
-    return json_pack(
+    json_t *status = json_pack(
         "{s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, "
         "s:o*, s:o*}",
         "name", node->settings->name, "data_centre",
@@ -104,6 +104,8 @@
         render_config(node, (uint64_t)generation), "members",
         render_members(node), "accounts", render_accounts(node), "quotas",
         bv_quotas_render(node));
+    bv_node_placement_render(node, status);
+    return status;
 }
 
 static void
