More headroom for first bursts of large responses

What was seen: four runs of the crowd of unread responses side by side drove a node of 160 MB to 217 MB: the calls of a burst at a route of unknown responses were open before one of them was answered. Change: an unknown response is expected to have 8 MiB, the most, and the bound is three quarters of the limit above 80 MB (64 before).

--- a/core/byte_account.c
+++ b/core/byte_account.c
@@ -11,7 +11,7 @@
  * responses that are larger than expected, and for copies while a message is
  * encoded, decoded or received.
  */
-#define BASE_BYTES (64 * MEGABYTE)
+#define BASE_BYTES (80 * MEGABYTE)
 /* Share of what is left; the remainder is for the allocator and small items.
  */
 #define SHARE_NUMERATOR 3
--- a/node/memory.c
+++ b/node/memory.c
@@ -12,11 +12,11 @@
 #define SMALL_BYTES 65536
 /*
  * Expected size of an idempotent call's response while none of its route is
- * known. It bounds the calls that are open until the first one is answered.
- * With 1 MiB, 25 downloads of 7 MiB were open before a node of 160 MB knew
- * their size, which took 206 MB.
+ * known: the largest there is. It bounds the calls that are open until the
+ * first one is answered. With 4 MiB a burst of 60 downloads of 7 MiB took up
+ * to 217 MB on a busy machine, of a limit of 160.
  */
-#define UNKNOWN_RESPONSE_BYTES (4 * 1024 * 1024)
+#define UNKNOWN_RESPONSE_BYTES BV_PEER_BODY_LIMIT_BYTES
 /* Part of the expected size that a smaller response takes away. */
 #define EXPECTED_DECAY 8
 #define ROUTES_LIMIT 4096
