Keep source, place and message of findings apart

Cause: a finding was one text, so a program that reports findings as JSON would have to split it at ": ", which file names and messages may contain. Change: a finding is a record; the printed lines stay the same. Findings can be appended to another list and turned into JSON, in which bytes that are not valid UTF-8 are replaced.

--- a/common/findings.c
+++ b/common/findings.c
@@ -3,11 +3,21 @@
 #include <stdarg.h>
 #include <string.h>
 
+static void
+free_finding(gpointer data)
+{
+    bv_finding_t *finding = data;
+    g_free(finding->source);
+    g_free(finding->place);
+    g_free(finding->message);
+    g_free(finding);
+}
+
 bv_findings_t *
 bv_findings_create(void)
 {
     bv_findings_t *findings = g_new0(bv_findings_t, 1);
-    findings->lines = g_ptr_array_new_with_free_func(g_free);
+    findings->entries = g_ptr_array_new_with_free_func(free_finding);
     return findings;
 }
 
@@ -17,10 +27,21 @@
     if (findings == NULL) {
         return;
     }
-    g_ptr_array_unref(findings->lines);
+    g_ptr_array_unref(findings->entries);
     g_free(findings);
 }
 
+static void
+add_finding(bv_findings_t *findings, const char *source, const char *place,
+            char *message)
+{
+    bv_finding_t *finding = g_new0(bv_finding_t, 1);
+    finding->source = g_strdup(source);
+    finding->place = g_strdup(place);
+    finding->message = message;
+    g_ptr_array_add(findings->entries, finding);
+}
+
 void
 bv_findings_add(bv_findings_t *findings, const char *source, const char *place,
                 const char *format, ...)
@@ -29,25 +50,32 @@
     va_start(format_arguments, format);
     char *message = g_strdup_vprintf(format, format_arguments);
     va_end(format_arguments);
-    if (*place == '\0') {
-        place = "/";
+    add_finding(findings, source, *place != '\0' ? place : "/", message);
+}
+
+void
+bv_findings_append(bv_findings_t *findings, const bv_findings_t *added)
+{
+    for (guint i = 0; i < added->entries->len; i++) {
+        const bv_finding_t *finding = added->entries->pdata[i];
+        add_finding(findings, finding->source, finding->place,
+                    g_strdup(finding->message));
     }
-    g_ptr_array_add(findings->lines,
-                    g_strdup_printf("%s: %s: %s", source, place, message));
-    g_free(message);
 }
 
 bool
 bv_findings_is_empty(const bv_findings_t *findings)
 {
-    return findings->lines->len == 0;
+    return findings->entries->len == 0;
 }
 
 void
 bv_findings_print(const bv_findings_t *findings, FILE *out)
 {
-    for (guint i = 0; i < findings->lines->len; i++) {
-        fprintf(out, "%s\n", (char *)findings->lines->pdata[i]);
+    for (guint i = 0; i < findings->entries->len; i++) {
+        const bv_finding_t *finding = findings->entries->pdata[i];
+        fprintf(out, "%s: %s: %s\n", finding->source, finding->place,
+                finding->message);
     }
 }
 
@@ -55,13 +83,38 @@
 bv_findings_to_string(const bv_findings_t *findings)
 {
     GString *text = g_string_new(NULL);
-    for (guint i = 0; i < findings->lines->len; i++) {
-        g_string_append_printf(text, "%s\n",
-                               (char *)findings->lines->pdata[i]);
+    for (guint i = 0; i < findings->entries->len; i++) {
+        const bv_finding_t *finding = findings->entries->pdata[i];
+        g_string_append_printf(text, "%s: %s: %s\n", finding->source,
+                               finding->place, finding->message);
     }
     return g_string_free(text, FALSE);
 }
 
+/* JSON holds only UTF-8, which a file's name need not be. */
+static void
+set_text(json_t *object, const char *key, const char *text)
+{
+    char *valid = g_utf8_make_valid(text, -1);
+    json_object_set_new(object, key, json_string(valid));
+    g_free(valid);
+}
+
+json_t *
+bv_findings_to_json(const bv_findings_t *findings)
+{
+    json_t *array = json_array();
+    for (guint i = 0; i < findings->entries->len; i++) {
+        const bv_finding_t *finding = findings->entries->pdata[i];
+        json_t *object = json_object();
+        set_text(object, "source", finding->source);
+        set_text(object, "place", finding->place);
+        set_text(object, "message", finding->message);
+        json_array_append_new(array, object);
+    }
+    return array;
+}
+
 json_t *
 bv_json_load(const char *path, bv_findings_t *findings)
 {
--- a/core/config.c
+++ b/core/config.c
@@ -328,7 +328,7 @@
                bv_findings_t *findings)
 {
     sections_t sections = {0};
-    guint findings_before = findings->lines->len;
+    guint findings_before = findings->entries->len;
     bv_fields_read(root, section_fields, &sections, source, "", findings);
     bv_config_t *config = g_new0(bv_config_t, 1);
     config->references = 1;
@@ -348,7 +348,7 @@
         build_service(&builder, name, entry);
     }
     count_unlisted_rejections(&builder);
-    if (findings->lines->len > findings_before + builder.rejection_lines) {
+    if (findings->entries->len > findings_before + builder.rejection_lines) {
         bv_config_unref(config);
         return NULL;
     }
--- a/include/berylvane/common/findings.h
+++ b/include/berylvane/common/findings.h
@@ -14,7 +14,16 @@
  * bv_fields_read() and bv_json_load() add their errors to the list.
  */
 typedef struct {
-    GPtrArray *lines;
+    /* The file or document. */
+    char *source;
+    /* A JSON pointer or LINE:COLUMN. */
+    char *place;
+    char *message;
+} bv_finding_t;
+
+typedef struct {
+    /* Of bv_finding_t; owned by the list. */
+    GPtrArray *entries;
 } bv_findings_t;
 
 bv_findings_t *bv_findings_create(void);
@@ -29,6 +38,9 @@
                      const char *place, const char *format, ...)
     G_GNUC_PRINTF(4, 5);
 
+/* Appends copies of the findings of `added`. */
+void bv_findings_append(bv_findings_t *findings, const bv_findings_t *added);
+
 bool bv_findings_is_empty(const bv_findings_t *findings);
 
 /* Prints each finding on a line of its own. */
@@ -40,6 +52,12 @@
  */
 char *bv_findings_to_string(const bv_findings_t *findings);
 
+/*
+ * Returns an array of objects with the keys source, place and message. Bytes
+ * that are not valid UTF-8 are replaced.
+ */
+json_t *bv_findings_to_json(const bv_findings_t *findings);
+
 /* Kinds of value that a key of a JSON object can have. */
 typedef enum {
     BV_FIELD_STRING,
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -209,7 +209,7 @@
     bv_findings_t *findings = bv_findings_create();
     bv_config_t *config = bv_config_build(bundle, "site", 1, "t", findings);
     ck_assert_ptr_nonnull(config);
-    ck_assert_uint_eq(findings->lines->len, 21);
+    ck_assert_uint_eq(findings->entries->len, 21);
     char *text = bv_findings_to_string(findings);
     ck_assert_ptr_nonnull(strstr(text, "980 further entries"));
     g_free(text);
