berylvanectl check: mistakes and changes of a configuration

Cause: validate accepts a configuration whose routes are never reached or whose limits contradict each other, and diff prints whole values, with the digests of API keys, and nothing by site.

--- a/completions/berylvanectl.bash
+++ b/completions/berylvanectl.bash
@@ -4,7 +4,7 @@
     local word=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     case $previous in
-    --base | --overlay | -b | -o)
+    --base | --overlay | --against | -b | -o)
         mapfile -t COMPREPLY < <(compgen -f -- "$word")
         return
         ;;
@@ -14,8 +14,8 @@
         return
         ;;
     esac
-    mapfile -t COMPREPLY < <(compgen -W "validate render diff apply status \
-drain watch explain --platform --node --token --base --overlay --site --wait \
---help --version" -- "$word")
+    mapfile -t COMPREPLY < <(compgen -W "validate check render diff apply \
+status drain watch explain --platform --node --token --base --overlay --site \
+--against --json --strict --wait --help --version" -- "$word")
 }
 complete -F _berylvanectl berylvanectl
--- a/core/config_internal.h
+++ b/core/config_internal.h
@@ -31,6 +31,19 @@
  */
 char *config_shown_name(const char *name);
 
+/*
+ * Returns a JSON pointer followed by "/NAME", escaped as RFC 6901 requires.
+ * The caller frees it.
+ */
+char *config_append_name(const char *pointer, const char *name);
+
+/*
+ * Removes each finding whose place and message a finding of `others` has too,
+ * whatever the source.
+ */
+void config_remove_shared(bv_findings_t *findings,
+                          const bv_findings_t *others);
+
 /*
  * Adds the route `name` of a service to the configuration. `entry` holds the
  * route's settings; `pointer` is the place of `entry` in the document, as a
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -17,6 +17,14 @@
     const char *base_path;
     const char *overlay_path;
     const char *site;
+    /* All --overlay and all --site in the order given; for check. */
+    GPtrArray *overlay_paths;
+    GPtrArray *sites;
+    /* The version that check compares with: a base document or a bundle. */
+    const char *against_path;
+    /* Whether --json and --strict were given. */
+    bool has_json;
+    bool is_strict;
     /* Whether --wait was given, and for how long to wait. */
     bool has_wait;
     int64_t wait_limit_s;
@@ -37,6 +45,7 @@
 } ctl_command_t;
 
 int ctl_validate(const ctl_options_t *options);
+int ctl_check(const ctl_options_t *options);
 int ctl_render(const ctl_options_t *options);
 int ctl_diff(const ctl_options_t *options);
 int ctl_apply(const ctl_options_t *options);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -8,13 +8,16 @@
 
 #define WAIT_DEFAULT_S 17
 #define COMMAND_NAMES                                                         \
-    "validate, render, diff, apply, status, drain, watch, explain"
+    "validate, check, render, diff, apply, status, drain, watch, explain"
 #define EXPLAIN_SUBJECTS "request ID, member NAME, config, counts"
 
 const char *argp_program_version = "berylvanectl " BV_VERSION;
 
 enum {
     OPTION_WAIT = 256,
+    OPTION_AGAINST,
+    OPTION_JSON,
+    OPTION_STRICT,
 };
 
 typedef struct {
@@ -25,6 +28,9 @@
 static const ctl_command_t commands[] = {
     {"validate", "check --base with --overlay; needs no platform",
      ctl_validate},
+    {"check",
+     "report errors, mistakes and changes of --base; needs no platform",
+     ctl_check},
     {"render", "print the document of --site: base and overlay merged",
      ctl_render},
     {"diff", "compare --base or --overlay with the configuration in force",
@@ -42,7 +48,7 @@
 
 static const struct argp_option options[] = {
     {"platform", 'p', "URL", 0,
-     "base URL of the platform's services; for diff and apply", 0},
+     "base URL of the platform's services; for diff, apply and check", 0},
     {"node", 'n', "URL", 0,
      "operator listener of a node; for status, drain, watch, explain and "
      "apply",
@@ -53,6 +59,10 @@
     {"overlay", 'o', "FILE", 0, "the overlay document of --site", 0},
     {"site", 's', "NAME", 0, "site of the overlay: the name of a data centre",
      0},
+    {"against", OPTION_AGAINST, "FILE", 0,
+     "base document or bundle to compare with; for check", 0},
+    {"json", OPTION_JSON, NULL, 0, "print one JSON object; for check", 0},
+    {"strict", OPTION_STRICT, NULL, 0, "exit 1 on warnings; for check", 0},
     {"wait", OPTION_WAIT, "SECONDS", OPTION_ARG_OPTIONAL,
      "wait until all members have the change in force (17 s if no number is "
      "given); for watch, how long to watch",
@@ -71,6 +81,17 @@
     return NULL;
 }
 
+static void
+check_check_arguments(const ctl_options_t *given, struct argp_state *state)
+{
+    if (given->base_path == NULL) {
+        argp_error(state, "check needs --base FILE");
+    }
+    if (given->overlay_paths->len != given->sites->len) {
+        argp_error(state, "check needs one --site NAME for each --overlay");
+    }
+}
+
 static void
 check_arguments(const arguments_t *arguments, struct argp_state *state)
 {
@@ -102,6 +123,13 @@
         argp_error(state,
                    "explain needs a subject; accepted: " EXPLAIN_SUBJECTS);
     }
+    if (run == ctl_check) {
+        check_check_arguments(given, state);
+    }
+    else if (given->against_path != NULL || given->has_json ||
+             given->is_strict) {
+        argp_error(state, "--against, --json and --strict are for check");
+    }
     if (run == ctl_apply && given->base_path == NULL &&
         given->overlay_path == NULL) {
         argp_error(state, "apply needs --base FILE or --overlay FILE");
@@ -158,9 +186,20 @@
         return 0;
     case 'o':
         given->overlay_path = text;
+        g_ptr_array_add(given->overlay_paths, text);
         return 0;
     case 's':
         given->site = text;
+        g_ptr_array_add(given->sites, text);
+        return 0;
+    case OPTION_AGAINST:
+        given->against_path = text;
+        return 0;
+    case OPTION_JSON:
+        given->has_json = true;
+        return 0;
+    case OPTION_STRICT:
+        given->is_strict = true;
         return 0;
     case OPTION_WAIT:
         given->has_wait = true;
@@ -206,11 +245,15 @@
 int
 main(int argc, char **argv)
 {
-    arguments_t arguments = {.options = {.wait_limit_s = WAIT_DEFAULT_S}};
+    arguments_t arguments = {.options = {.wait_limit_s = WAIT_DEFAULT_S,
+                                         .overlay_paths = g_ptr_array_new(),
+                                         .sites = g_ptr_array_new()}};
     argp_err_exit_status = BV_EXIT_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &arguments);
     arguments.options.pool = bv_program_start();
     int status = arguments.command->run(&arguments.options);
     bv_program_stop(arguments.options.pool);
+    g_ptr_array_unref(arguments.options.overlay_paths);
+    g_ptr_array_unref(arguments.options.sites);
     return status;
 }
