Target client of the project's own, which sends a request once

Callers saw retries beyond the budget of their service, and requests run up to five times. libcurl, which carried requests to the local target, sends an idempotent request again by itself when a kept-alive connection closes before the first byte of the response; these retries were charged to nothing.

A kept-alive connection that closes before the first byte of the response gives "unknown" with the new reason "connection_lost".

Requests carry no "Accept: */*" any more, which libcurl added to those without one. A target's address must be a number, as its type always said; libcurl also looked up names. The header that a dialect writes is a bv_target_head_t, which holds the request's text itself in place of a copy.

--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -35,6 +35,7 @@
     X(NO_CONFIG, "no_config")                                                 \
     X(TARGET_REFUSED, "target_refused")                                       \
     X(WRONG_TARGET, "wrong_target")                                           \
-    X(ANSWER_FOREIGN, "answer_foreign")
+    X(ANSWER_FOREIGN, "answer_foreign")                                       \
+    X(CONNECTION_LOST, "connection_lost")
 
 #endif
--- a/include/berylvane/targets/client.h
+++ b/include/berylvane/targets/client.h
@@ -8,8 +8,11 @@
 /*
  * client - HTTP client that sends admitted work to the local target
  *
- * Work that is not idempotent is sent on a fresh connection, because libcurl
- * sends a request again by itself when a reused connection closes early.
+ * Each work is sent on one connection, once: the client repeats nothing by
+ * itself. Idempotent work may use a kept-alive connection; other work uses a
+ * new one, which is not kept. When a kept-alive connection closes before the
+ * first byte of the response, the result is "unknown" with the reason
+ * "connection_lost", and the caller may decide to send the work again.
  *
  * The client has no thread: one thread makes all calls. That thread calls
  * bv_target_client_run() when the client's file descriptor is readable, and
@@ -18,11 +21,16 @@
 typedef struct bv_target_client bv_target_client_t;
 
 typedef struct {
-    /* Number of idle connections that are kept for reuse. */
+    /* Most idle connections that are kept for reuse. */
     uint32_t kept_connections;
     /* A longer body of an answer fails the request. */
     size_t answer_limit_bytes;
-    /* Limit of the bodies of all unfinished answers, see http_client.h. */
+    /*
+     * Limit of the bodies of all unfinished answers; 0 for none. When it is
+     * reached, an answer that goes on and whose body is longer than an equal
+     * part of the limit fails. The bodies together take twice the limit at
+     * most.
+     */
     size_t answers_limit_bytes;
     /* Borrowed; NULL for berylvane's own dialect. */
     const bv_target_dialect_t *dialect;
@@ -46,7 +54,10 @@
 /* Returns a file descriptor that is readable if a connection has an event. */
 int bv_target_client_fd(const bv_target_client_t *client);
 
-/* Returns when the next timer expires; INT64_MAX if there is none. */
+/*
+ * Returns when the next request expires, INT64_MAX if there is none, or 0 if
+ * input is left to be read.
+ */
 int64_t bv_target_client_next_timer_us(const bv_target_client_t *client);
 
 /* Returns the size of the bodies of all unfinished answers. */
@@ -55,7 +66,10 @@
 /* Handles the events of connections and the timers that have expired. */
 void bv_target_client_run(bv_target_client_t *client);
 
-/* Handles only the timers that have expired. */
+/*
+ * Reads input that was left, and ends requests whose deadline has passed;
+ * those whose response has arrived are answered.
+ */
 void bv_target_client_run_timers(bv_target_client_t *client);
 
 /* Sends a request for `work`, which is copied; retains its body. */
--- a/include/berylvane/targets/dialect.h
+++ b/include/berylvane/targets/dialect.h
@@ -33,10 +33,31 @@
     bv_id_t request_id;
     GBytes *body;
     bool is_idempotent;
+    /* Idempotent work, too, is sent on a new connection that is not kept. */
+    bool needs_new_connection;
     /* Remaining time until the work's deadline. */
     int64_t timeout_us;
 } bv_target_work_t;
 
+/* The head of a request to the target while it is written. */
+typedef struct {
+    /*
+     * The request line, "Host" (the forwarded one, if there is one) and the
+     * other forwarded header lines, each ended by CR LF.
+     */
+    GString *lines;
+    /*
+     * Header that identifies the answer to this request; NULL for none. A
+     * successful answer, and any answer on a connection that was used before,
+     * must have the header with the value `echo_value`; no answer may have it
+     * with another value. An answer that breaks this rule belongs to another
+     * request: the connection is closed and the answer is broken. The name is
+     * borrowed; the value is freed with g_free().
+     */
+    const char *echo_name;
+    char *echo_value;
+} bv_target_head_t;
+
 typedef struct {
     /* ID of the work. */
     uint64_t id;
@@ -52,11 +73,11 @@
 
 typedef struct {
     /*
-     * Sets the header lines of a request for `work` and, if the dialect has
-     * one, the header that the answer must echo.
+     * Appends the dialect's header lines to the head of a request for `work`
+     * and sets, if the dialect has one, the header that the answer must echo.
      */
     void (*write_head)(void *context, const bv_target_work_t *work,
-                       bv_http_request_t *request);
+                       bv_target_head_t *head);
     /*
      * Sets the outcome and the reason of `result` for a complete answer. The
      * outcome is BV_OUTCOME_RAN before the call; status, headers and body of
--- a/targets/client.c
+++ b/targets/client.c
@@ -2,87 +2,50 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/headers.h"
-#include "berylvane/common/http_client.h"
+#include "berylvane/common/log.h"
+#include "berylvane/core/log_budget.h"
+#include "pool.h"
 
 #include <string.h>
+#include <sys/epoll.h>
 
-/*
- * Kept connections are not reused from this long before the target closes
- * them, so that the target does not close a connection while a request is sent
- * on it.
- */
-#define IDLE_MARGIN_S 1
+#define EVENTS_AT_ONCE 64
+#define HEAD_TYPICAL_BYTES 1024
+#define SHORTEST_TIMEOUT_US BV_US_PER_MS
 
 struct bv_target_client {
     bv_target_client_options_t options;
-    bv_http_client_t *http;
-    /*
-     * Kept connections that were idle for longer than this are not reused.
-     * Derived from the target's last Keep-Alive header; 0 if the target has
-     * sent none.
-     */
-    gint idle_limit_s;
+    bv_target_poll_t poll;
+    bv_target_pool_t pool;
+    bv_response_share_t share;
+    bv_log_budget_t log_budget;
+    /* Unfinished requests by ID, and ordered by deadline. */
+    GHashTable *requests;
+    GSequence *deadlines;
+    /* Requests whose connection has input that no event announces. */
+    GQueue unread;
 };
 
-/* Reads the target's idle timeout from "Keep-Alive: timeout=N". */
-static void
-update_idle_limit(bv_target_client_t *client, const bv_http_answer_t *answer)
-{
-    char *value = bv_headers_get(answer->headers, "Keep-Alive");
-    const char *timeout = value != NULL ? strstr(value, "timeout=") : NULL;
-    if (timeout != NULL) {
-        gint64 seconds =
-            g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10);
-        g_atomic_int_set(&client->idle_limit_s,
-                         (gint)CLAMP(seconds - IDLE_MARGIN_S, 1, G_MAXINT));
-    }
-    g_free(value);
-}
+typedef struct {
+    uint64_t id;
+    bv_target_connection_t *connection;
+    bv_target_head_t head;
+    /* The connection may be kept for other requests. */
+    bool keeps_connection;
+    int64_t started_us;
+    int64_t deadline_us;
+    GSequenceIter *timer;
+    GList unread_link;
+    bool is_unread;
+} request_t;
 
-static void
-classify(bv_target_client_t *client, const bv_http_answer_t *answer,
-         bv_target_result_t *result)
+static gint
+compare_deadlines(gconstpointer a, gconstpointer b, gpointer data)
 {
-    const bv_target_dialect_t *dialect = client->options.dialect;
-    switch (answer->result) {
-    case BV_HTTP_ANSWERED:
-        result->outcome = BV_OUTCOME_RAN;
-        dialect->classify_answer(dialect->context, answer, result);
-        update_idle_limit(client, answer);
-        break;
-    case BV_HTTP_NOT_SENT:
-        result->outcome = BV_OUTCOME_NOT_RUN;
-        result->reason = BV_REASON_CONNECT;
-        break;
-    case BV_HTTP_BROKEN:
-        result->outcome = BV_OUTCOME_UNKNOWN;
-        result->reason = BV_REASON_BROKEN_ANSWER;
-        break;
-    case BV_HTTP_TIMEOUT:
-        result->outcome = BV_OUTCOME_UNKNOWN;
-        result->reason = BV_REASON_TIMEOUT;
-        break;
-    case BV_HTTP_CANCELLED:
-        result->outcome = BV_OUTCOME_UNKNOWN;
-        result->reason = BV_REASON_CANCELLED;
-        break;
-    }
-}
-
-static void
-handle_answer(void *context, const bv_http_answer_t *answer)
-{
-    bv_target_client_t *client = context;
-    bv_target_result_t *result = g_new0(bv_target_result_t, 1);
-    result->id = answer->id;
-    result->latency_us = answer->latency_us;
-    classify(client, answer, result);
-    if (result->outcome == BV_OUTCOME_RAN) {
-        result->status = answer->status;
-        result->headers = bv_headers_filter(answer->headers);
-        result->body = g_bytes_ref(answer->body);
-    }
-    client->options.on_result(client->options.context, result);
+    (void)data;
+    int64_t deadline_a = ((const request_t *)a)->deadline_us;
+    int64_t deadline_b = ((const request_t *)b)->deadline_us;
+    return (deadline_a > deadline_b) - (deadline_a < deadline_b);
 }
 
 bv_target_client_t *
@@ -94,75 +57,423 @@
     if (options->dialect == NULL) {
         client->options.dialect = &bv_target_own_dialect;
     }
-    bv_http_client_options_t http = {
-        .kept_connections = options->kept_connections,
-        .answers_limit_bytes = options->answers_limit_bytes,
-        .is_threadless = true,
-    };
-    client->http = bv_http_client_start(pool, &http);
+    bv_target_poll_init(&client->poll);
+    bv_target_pool_init(&client->pool, options->kept_connections);
+    client->share.limit_bytes = options->answers_limit_bytes;
+    client->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+    client->deadlines = g_sequence_new(NULL);
+    g_queue_init(&client->unread);
     return client;
 }
 
-void
-bv_target_client_stop(bv_target_client_t *client)
+int
+bv_target_client_fd(const bv_target_client_t *client)
 {
-    bv_http_client_stop(client->http);
+    return client->poll.epoll_fd;
 }
 
-int
-bv_target_client_fd(const bv_target_client_t *client)
+size_t
+bv_target_client_received_bytes(const bv_target_client_t *client)
+{
+    return client->share.received_bytes;
+}
+
+static request_t *
+first_due(const bv_target_client_t *client)
 {
-    return bv_http_client_fd(client->http);
+    GSequenceIter *first = g_sequence_get_begin_iter(client->deadlines);
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
 
 int64_t
 bv_target_client_next_timer_us(const bv_target_client_t *client)
 {
-    return bv_http_client_next_timer_us(client->http);
+    const request_t *first = first_due(client);
+    if (client->unread.length > 0) {
+        return 0;
+    }
+    return first != NULL ? first->deadline_us : INT64_MAX;
 }
 
-size_t
-bv_target_client_received_bytes(const bv_target_client_t *client)
+static void
+apply_keep_alive(bv_target_client_t *client, const request_t *request,
+                 const char *headers)
 {
-    return bv_http_client_received_bytes(client->http);
+    char *value = bv_headers_get(headers, "Keep-Alive");
+    if (value != NULL) {
+        bv_target_pool_apply_keep_alive(&client->pool,
+                                        &request->connection->endpoint, value);
+        g_free(value);
+    }
 }
 
-void
-bv_target_client_run(bv_target_client_t *client)
+/* Sets the outcome, status, headers and body of a complete response. */
+static void
+take_response(bv_target_client_t *client, const request_t *request,
+              bv_target_result_t *result)
 {
-    bv_http_client_run(client->http);
+    const bv_target_dialect_t *dialect = client->options.dialect;
+    bv_response_parser_t *response = &request->connection->response;
+    bv_http_answer_t answer = {
+        .id = request->id,
+        .result = BV_HTTP_ANSWERED,
+        .error = "No error",
+        .status = response->status,
+        .headers = response->headers->str,
+        .body = bv_response_parser_take_body(response),
+        .latency_us = result->latency_us,
+    };
+    result->outcome = BV_OUTCOME_RAN;
+    dialect->classify_answer(dialect->context, &answer, result);
+    apply_keep_alive(client, request, answer.headers);
+    if (result->outcome == BV_OUTCOME_RAN) {
+        result->status = answer.status;
+        result->headers = bv_headers_filter(answer.headers);
+        result->body = g_bytes_ref(answer.body);
+    }
+    g_bytes_unref(answer.body);
 }
 
+static void
+log_broken(bv_target_client_t *client, const request_t *request,
+           int64_t now_us)
+{
+    const bv_target_connection_t *connection = request->connection;
+    if (bv_log_budget_try_consume(&client->log_budget, now_us,
+                                  BV_LOG_CLASS_FAILURE)) {
+        bv_log(BV_LOG_WARN, "target_answer_broken", "address",
+               connection->endpoint.address, "port",
+               BV_NUM(connection->endpoint.port), "error",
+               connection->response.error, NULL);
+    }
+}
+
+static void
+release_connection(bv_target_client_t *client, const request_t *request,
+                   bv_target_progress_t progress, int64_t now_us)
+{
+    bv_target_connection_t *connection = request->connection;
+    if (connection == NULL) {
+        return;
+    }
+    if (progress == BV_TARGET_ANSWERED &&
+        bv_target_connection_finish(connection) && request->keeps_connection) {
+        bv_target_pool_put(&client->pool, connection, now_us);
+        return;
+    }
+    bv_target_connection_close(connection);
+}
+
+static void
+remove_request(bv_target_client_t *client, request_t *request)
+{
+    g_hash_table_remove(client->requests, &request->id);
+    g_sequence_remove(request->timer);
+    if (request->is_unread) {
+        g_queue_unlink(&client->unread, &request->unread_link);
+    }
+    g_free(request->head.echo_value);
+    g_free(request);
+}
+
+/*
+ * Reports the end of a request. The client may be called again by the callback
+ * of the result, which therefore comes last.
+ */
+static void
+finish_request(bv_target_client_t *client, request_t *request,
+               bv_target_progress_t progress, bv_outcome_t outcome,
+               bv_reason_t reason)
+{
+    int64_t now_us = bv_clock_now_us();
+    bv_target_result_t *result = g_new0(bv_target_result_t, 1);
+    result->id = request->id;
+    result->latency_us = now_us - request->started_us;
+    result->outcome = outcome;
+    result->reason = reason;
+    if (progress == BV_TARGET_ANSWERED) {
+        take_response(client, request, result);
+    }
+    else if (progress == BV_TARGET_BROKEN) {
+        log_broken(client, request, now_us);
+    }
+    release_connection(client, request, progress, now_us);
+    remove_request(client, request);
+    client->options.on_result(client->options.context, result);
+}
+
+static void
+keep_unread(bv_target_client_t *client, request_t *request)
+{
+    if (!request->is_unread) {
+        request->is_unread = true;
+        g_queue_push_tail_link(&client->unread, &request->unread_link);
+    }
+}
+
+static void
+handle_progress(bv_target_client_t *client, request_t *request,
+                bv_target_progress_t progress)
+{
+    switch (progress) {
+    case BV_TARGET_BUSY:
+        return;
+    case BV_TARGET_UNREAD:
+        keep_unread(client, request);
+        return;
+    case BV_TARGET_ANSWERED:
+        finish_request(client, request, progress, BV_OUTCOME_RAN,
+                       BV_REASON_NONE);
+        return;
+    case BV_TARGET_NOT_SENT:
+        finish_request(client, request, progress, BV_OUTCOME_NOT_RUN,
+                       BV_REASON_CONNECT);
+        return;
+    case BV_TARGET_LOST:
+        finish_request(client, request, progress, BV_OUTCOME_UNKNOWN,
+                       BV_REASON_CONNECTION_LOST);
+        return;
+    case BV_TARGET_BROKEN:
+        finish_request(client, request, progress, BV_OUTCOME_UNKNOWN,
+                       BV_REASON_BROKEN_ANSWER);
+        return;
+    }
+}
+
+static void
+handle_event(bv_target_client_t *client, const struct epoll_event *event)
+{
+    bv_target_connection_t *connection = event->data.ptr;
+    if (connection->fd < 0) {
+        return;
+    }
+    if (connection->owner != NULL) {
+        handle_progress(
+            client, connection->owner,
+            bv_target_connection_handle_events(connection, event->events));
+        return;
+    }
+    /* The target closes an idle connection, or sends without a request. */
+    if ((event->events & ~(uint32_t)EPOLLOUT) != 0) {
+        bv_target_pool_close(&client->pool, connection);
+    }
+}
+
+/* Gives each connection with unread input one turn. */
+static void
+read_on(bv_target_client_t *client)
+{
+    for (guint left = client->unread.length; left > 0; left--) {
+        GList *link = g_queue_pop_head_link(&client->unread);
+        if (link == NULL) {
+            return;
+        }
+        request_t *request = link->data;
+        request->is_unread = false;
+        handle_progress(client, request,
+                        bv_target_connection_read_on(request->connection));
+    }
+}
+
+/* A request of which nothing was written has certainly not run. */
+static void
+expire_requests(bv_target_client_t *client)
+{
+    int64_t now_us = bv_clock_now_us();
+    request_t *request;
+    while ((request = first_due(client)) != NULL &&
+           request->deadline_us <= now_us) {
+        bool is_sent = request->connection->written_bytes > 0;
+        finish_request(client, request, BV_TARGET_BUSY,
+                       is_sent ? BV_OUTCOME_UNKNOWN : BV_OUTCOME_NOT_RUN,
+                       is_sent ? BV_REASON_TIMEOUT : BV_REASON_CONNECT);
+    }
+}
+
+static void
+handle_events(bv_target_client_t *client)
+{
+    struct epoll_event events[EVENTS_AT_ONCE];
+    int count;
+    do {
+        count = epoll_wait(client->poll.epoll_fd, events, EVENTS_AT_ONCE, 0);
+        for (int i = 0; i < count; i++) {
+            handle_event(client, &events[i]);
+        }
+    } while (count == EVENTS_AT_ONCE);
+}
+
+static bool
+is_request_due(const bv_target_client_t *client)
+{
+    const request_t *request = first_due(client);
+    return request != NULL && request->deadline_us <= bv_clock_now_us();
+}
+
+/* A response that has arrived is read before its request expires. */
 void
 bv_target_client_run_timers(bv_target_client_t *client)
 {
-    bv_http_client_run_timers(client->http);
+    read_on(client);
+    if (is_request_due(client)) {
+        handle_events(client);
+        expire_requests(client);
+    }
+    bv_target_poll_reap(&client->poll);
 }
 
 void
-bv_target_client_send(bv_target_client_t *client, const bv_target_work_t *work)
+bv_target_client_run(bv_target_client_t *client)
+{
+    handle_events(client);
+    bv_target_client_run_timers(client);
+}
+
+/* Whether a request without a body states that its length is 0. */
+static bool
+states_empty_body(const char *method)
+{
+    return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+           strcmp(method, "PATCH") == 0;
+}
+
+/* IPv6 numbers may be announced in brackets, as in a URL. */
+static bv_target_endpoint_t
+endpoint_of(const bv_target_work_t *work)
+{
+    bv_target_endpoint_t endpoint = {.port = work->port};
+    bool has_brackets = work->address[0] == '[';
+    g_strlcpy(endpoint.address, work->address + (has_brackets ? 1 : 0),
+              sizeof(endpoint.address));
+    if (has_brackets) {
+        endpoint.address[strcspn(endpoint.address, "]")] = '\0';
+    }
+    return endpoint;
+}
+
+/* A dialect may forward the caller's Host header. */
+static void
+append_host(GString *lines, const bv_target_work_t *work)
+{
+    char *forwarded = bv_headers_get(work->headers, "Host");
+    bool needs_brackets =
+        strchr(work->address, ':') != NULL && work->address[0] != '[';
+    if (forwarded == NULL) {
+        g_string_append_printf(lines, "Host: %s%s%s:%u\r\n",
+                               needs_brackets ? "[" : "", work->address,
+                               needs_brackets ? "]" : "", work->port);
+    }
+    g_free(forwarded);
+}
+
+static void
+write_head(const bv_target_client_t *client, const bv_target_work_t *work,
+           bv_target_head_t *head)
 {
-    char *url = g_strdup_printf("http://%s:%u%s", work->address, work->port,
-                                work->path);
-    bv_http_request_t *request = bv_http_request_create(work->method, url);
-    g_free(url);
-    request->id = work->id;
     const bv_target_dialect_t *dialect = client->options.dialect;
-    dialect->write_head(dialect->context, work, request);
-    request->body = work->body != NULL ? g_bytes_ref(work->body) : NULL;
-    request->uses_fresh_connection = !work->is_idempotent;
-    request->idle_limit_s = (uint32_t)g_atomic_int_get(&client->idle_limit_s);
-    request->timeout_us = work->timeout_us;
-    request->answer_limit_bytes = client->options.answer_limit_bytes;
-    request->on_answer = handle_answer;
-    request->context = client;
-    bv_http_client_send(client->http, request);
+    gsize body_bytes = work->body != NULL ? g_bytes_get_size(work->body) : 0;
+    GString *lines = g_string_sized_new(HEAD_TYPICAL_BYTES);
+    head->lines = lines;
+    g_string_append(lines, work->method);
+    g_string_append_c(lines, ' ');
+    g_string_append(lines, work->path);
+    g_string_append(lines, " HTTP/1.1\r\n");
+    append_host(lines, work);
+    g_string_append(lines, work->headers != NULL ? work->headers : "");
+    dialect->write_head(dialect->context, work, head);
+    if (body_bytes > 0 || states_empty_body(work->method)) {
+        g_string_append_printf(
+            lines, "Content-Length: %" G_GSIZE_FORMAT "\r\n", body_bytes);
+    }
+    g_string_append(lines, "\r\n");
+}
+
+static request_t *
+create_request(bv_target_client_t *client, const bv_target_work_t *work)
+{
+    request_t *request = g_new0(request_t, 1);
+    request->id = work->id;
+    request->keeps_connection =
+        work->is_idempotent && !work->needs_new_connection;
+    request->unread_link.data = request;
+    request->started_us = bv_clock_now_us();
+    request->deadline_us =
+        request->started_us + MAX(work->timeout_us, SHORTEST_TIMEOUT_US);
+    request->timer = g_sequence_insert_sorted(client->deadlines, request,
+                                              compare_deadlines, NULL);
+    g_hash_table_insert(client->requests, &request->id, request);
+    return request;
+}
+
+static void
+connect_request(bv_target_client_t *client, const bv_target_work_t *work,
+                request_t *request)
+{
+    bv_target_endpoint_t endpoint = endpoint_of(work);
+    if (request->keeps_connection) {
+        request->connection =
+            bv_target_pool_take(&client->pool, &endpoint, request->started_us);
+    }
+    if (request->connection == NULL) {
+        request->connection =
+            bv_target_connection_open(&client->poll, &endpoint);
+    }
+}
+
+void
+bv_target_client_send(bv_target_client_t *client, const bv_target_work_t *work)
+{
+    request_t *request = create_request(client, work);
+    connect_request(client, work, request);
+    if (request->connection == NULL) {
+        handle_progress(client, request, BV_TARGET_NOT_SENT);
+        return;
+    }
+    write_head(client, work, &request->head);
+    bv_target_exchange_t exchange = {
+        .head = request->head.lines,
+        .body = work->body,
+        .response =
+            {
+                .share = &client->share,
+                .body_limit_bytes = client->options.answer_limit_bytes,
+                .echo_name = request->head.echo_name,
+                .echo_value = request->head.echo_value,
+                .is_head_request = strcmp(work->method, "HEAD") == 0,
+            },
+    };
+    handle_progress(
+        client, request,
+        bv_target_connection_start(request->connection, &exchange, request));
+}
+
+static void
+cancel_request(bv_target_client_t *client, request_t *request)
+{
+    finish_request(client, request, BV_TARGET_BUSY, BV_OUTCOME_UNKNOWN,
+                   BV_REASON_CANCELLED);
 }
 
 void
 bv_target_client_cancel(bv_target_client_t *client, uint64_t id)
 {
-    bv_http_client_cancel(client->http, id);
+    request_t *request = g_hash_table_lookup(client->requests, &id);
+    if (request != NULL) {
+        cancel_request(client, request);
+    }
+}
+
+void
+bv_target_client_stop(bv_target_client_t *client)
+{
+    request_t *request;
+    while ((request = first_due(client)) != NULL) {
+        cancel_request(client, request);
+    }
+    bv_target_pool_clear(&client->pool);
+    bv_target_poll_clear(&client->poll);
+    g_hash_table_destroy(client->requests);
+    g_sequence_free(client->deadlines);
 }
 
 void
--- a/targets/own_dialect.c
+++ b/targets/own_dialect.c
@@ -11,21 +11,19 @@
 }
 
 static void
-write_head(void *context, const bv_target_work_t *work,
-           bv_http_request_t *request)
+write_head(void *context, const bv_target_work_t *work, bv_target_head_t *head)
 {
     (void)context;
     char id[BV_ID_TEXT_BYTES];
     char remaining_ms[24];
     g_snprintf(remaining_ms, sizeof(remaining_ms), "%" G_GINT64_FORMAT,
                (gint64)(work->timeout_us / BV_US_PER_MS));
-    GString *lines = g_string_new(work->headers);
+    GString *lines = head->lines;
     add_line(lines, BV_HEADER_REQUEST_ID, bv_id_text(&work->request_id, id));
     add_line(lines, BV_HEADER_TIMEOUT, remaining_ms);
     add_line(lines, BV_HEADER_IDEMPOTENCY_KEY, work->idempotency_key);
     add_line(lines, BV_HEADER_CUSTOMER, work->customer);
     add_line(lines, BV_HEADER_TRACEPARENT, work->traceparent);
-    request->headers = g_string_free(lines, FALSE);
 }
 
 /* A target has run every request that it answers completely. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -127,15 +127,15 @@
         .headers = "Request-Id: 7\r\n",
         .timeout_us = 1234567,
     };
-    bv_http_request_t *request = bv_http_request_create("GET", "http://a/");
-    dialect->target.write_head(dialect->target.context, &work, request);
-    ck_assert_str_eq(request->echo_name, "Request-Id");
-    ck_assert_str_eq(request->echo_value, "7");
+    bv_target_head_t head = {.lines = g_string_new(NULL)};
+    dialect->target.write_head(dialect->target.context, &work, &head);
+    ck_assert_str_eq(head.echo_name, "Request-Id");
+    ck_assert_str_eq(head.echo_value, "7");
     ck_assert_ptr_nonnull(
-        strstr(request->headers, "Request-Deadline: 1234\r\n"));
-    ck_assert_ptr_nonnull(
-        strstr(request->headers, "Target-Instance: i-1\r\n"));
-    bv_http_request_destroy(request);
+        strstr(head.lines->str, "Request-Deadline: 1234\r\n"));
+    ck_assert_ptr_nonnull(strstr(head.lines->str, "Target-Instance: i-1\r\n"));
+    g_string_free(head.lines, TRUE);
+    g_free(head.echo_value);
 }
 END_TEST
 
