--- a/include/berylvane/standin/cluster.h
+++ b/include/berylvane/standin/cluster.h
@@ -106,6 +106,9 @@
 void cluster_signal(cluster_t *cluster, cluster_role_t role, size_t instance,
                     int number);
 
+/* Returns the process id of a process, 0 if it does not run. */
+pid_t cluster_pid(cluster_t *cluster, cluster_role_t role, size_t instance);
+
 /*
  * Waits for a process to end. Returns its exit status, 128 plus the signal's
  * number if a signal ended it, or -1 if it still runs after `timeout_us`.
--- a/standin/cluster/cluster.c
+++ b/standin/cluster/cluster.c
@@ -411,6 +411,13 @@
     process_signal(find_process(cluster, role, instance), number);
 }
 
+pid_t
+cluster_pid(cluster_t *cluster, cluster_role_t role, size_t instance)
+{
+    const process_t *process = find_process(cluster, role, instance);
+    return process->running ? process->pid : 0;
+}
+
 int
 cluster_wait_exit(cluster_t *cluster, cluster_role_t role, size_t instance,
                   int64_t timeout_us)
