Send and receive large peer messages without extra copies

Callers of large downloads paid for each copy of the body between two nodes: of 1 MiB, the profile showed 5% of the nodes' time in ZeroMQ's copy of the message that was sent, 5% in the copy of the received body, and a buffer of up to twice the message's size in the encoder.

The encoder reserves the size of the body. A message of 64 KiB or more is handed to ZeroMQ by reference, and the body of a received message of that size refers to the received frame. Bytes on the wire are unchanged.

The new test fails if a large body is copied or does not outlive its frame.

--- a/include/berylvane/peer/message.h
+++ b/include/berylvane/peer/message.h
@@ -175,6 +175,10 @@
 bv_peer_message_t *bv_peer_message_decode(const void *data, size_t size,
                                           GError **error);
 
+/* Like bv_peer_message_decode(); a large body keeps `frame` and is not copied.
+ */
+bv_peer_message_t *bv_peer_message_decode_frame(GBytes *frame, GError **error);
+
 /*
  * Encodes a gossip packet of the member `from` into `out` and returns its
  * length. Leaves out the last records if the packet would exceed
--- a/include/berylvane/peer/pack.h
+++ b/include/berylvane/peer/pack.h
@@ -24,6 +24,9 @@
  */
 bool bv_pack_is_bounded(const void *data, size_t size);
 
+/* Below this size a copy costs less than keeping the whole frame. */
+#define BV_UNPACK_SHARED_BYTES 65536
+
 /*
  * Reads the elements of an array in order. If an element has the wrong type or
  * exceeds its limit, or the array has ended, `has_failed` is set; it stays
@@ -31,6 +34,8 @@
  */
 typedef struct {
     const msgpack_object_array *array;
+    /* The encoded data, which large binary elements share; NULL: copy all. */
+    GBytes *frame;
     uint32_t next;
     bool has_failed;
 } bv_unpack_t;
@@ -52,7 +57,11 @@
 /* Copies binary data that must be exactly `size` bytes long. */
 void bv_unpack_exact(bv_unpack_t *unpack, void *buffer, size_t size);
 
-/* Returns a copy of at most `limit_bytes` of binary data; NULL for nil. */
+/*
+ * Returns at most `limit_bytes` of binary data, a new reference; NULL for nil.
+ * Data of at least BV_UNPACK_SHARED_BYTES keeps `frame` alive and is not
+ * copied.
+ */
 GBytes *bv_unpack_bytes(bv_unpack_t *unpack, size_t limit_bytes);
 
 /*
--- a/peer/link.c
+++ b/peer/link.c
@@ -3,6 +3,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/peer/pack.h"
 
 #include <string.h>
 #include <sys/epoll.h>
@@ -16,6 +17,8 @@
 /* A replaced connection is closed after it was idle for this time. */
 #define REPLACED_IDLE_US (15 * BV_US_PER_S)
 #define EVENTS_AT_ONCE 64
+/* Below this size a copy costs less than ZeroMQ's counted references. */
+#define SHARED_SEND_BYTES 65536
 
 /* A message and the member that it is sent to. */
 typedef struct {
@@ -214,13 +217,37 @@
     }
 }
 
+static void
+free_frame(gpointer data)
+{
+    zmq_msg_close(data);
+    g_free(data);
+}
+
+/* Decodes a frame; the body of a large message takes over its content. */
+static bv_peer_message_t *
+decode(zmq_msg_t *frame, GError **error)
+{
+    size_t size = zmq_msg_size(frame);
+    if (size < BV_UNPACK_SHARED_BYTES) {
+        return bv_peer_message_decode(zmq_msg_data(frame), size, error);
+    }
+    zmq_msg_t *owned = g_new(zmq_msg_t, 1);
+    zmq_msg_init(owned);
+    zmq_msg_move(owned, frame);
+    GBytes *bytes = g_bytes_new_with_free_func(zmq_msg_data(owned), size,
+                                               free_frame, owned);
+    bv_peer_message_t *message = bv_peer_message_decode_frame(bytes, error);
+    g_bytes_unref(bytes);
+    return message;
+}
+
 static void
 decode_and_deliver(bv_link_t *link, zmq_msg_t *frame, GBytes *identity,
                    uint64_t session)
 {
     GError *error = NULL;
-    bv_peer_message_t *message = bv_peer_message_decode(
-        zmq_msg_data(frame), zmq_msg_size(frame), &error);
+    bv_peer_message_t *message = decode(frame, &error);
     if (message == NULL) {
         bv_counter_add(BV_COUNT_PEER_BAD, 1);
         bv_log(BV_LOG_WARN, "peer_message_bad", "error", error->message, NULL);
@@ -283,13 +310,37 @@
     }
 }
 
+static void
+unref_sent(void *data, void *bytes)
+{
+    (void)data;
+    g_bytes_unref(bytes);
+}
+
+/* Sends large data without a copy; ZeroMQ's thread drops its reference. */
 static bool
-send_encoded(void *socket, const bv_peer_message_t *message)
+send_bytes(void *socket, GBytes *bytes)
 {
-    GBytes *bytes = bv_peer_message_encode(message);
     gsize size;
     const void *data = g_bytes_get_data(bytes, &size);
-    bool sent = zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0;
+    if (size < SHARED_SEND_BYTES) {
+        return zmq_send(socket, data, size, ZMQ_DONTWAIT) >= 0;
+    }
+    zmq_msg_t frame;
+    zmq_msg_init_data(&frame, (void *)data, size, unref_sent,
+                      g_bytes_ref(bytes));
+    if (zmq_msg_send(&frame, socket, ZMQ_DONTWAIT) >= 0) {
+        return true;
+    }
+    zmq_msg_close(&frame);
+    return false;
+}
+
+static bool
+send_encoded(void *socket, const bv_peer_message_t *message)
+{
+    GBytes *bytes = bv_peer_message_encode(message);
+    bool sent = send_bytes(socket, bytes);
     bv_counter_add(sent ? BV_COUNT_PEER_SENT : BV_COUNT_RING_FULL, 1);
     g_bytes_unref(bytes);
     return sent;
--- a/peer/message.c
+++ b/peer/message.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/peer/pack.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -145,12 +146,30 @@
 #define MESSAGE_FIELD_COUNT                                                   \
     (HEADER_FIELD_COUNT + CALL_FIELD_COUNT + ANSWER_FIELD_COUNT + 1)
 
+/*
+ * Makes room for a message with a large body. The library would otherwise
+ * double its buffer up to nearly twice the size of the message.
+ */
+static void
+reserve(msgpack_sbuffer *buffer, const bv_peer_message_t *message)
+{
+    size_t body_bytes =
+        message->body != NULL ? g_bytes_get_size(message->body) : 0;
+    size_t needed_bytes = body_bytes + MSGPACK_SBUFFER_INIT_SIZE;
+    char *data = body_bytes > 0 ? malloc(needed_bytes) : NULL;
+    if (data != NULL) {
+        buffer->data = data;
+        buffer->alloc = needed_bytes;
+    }
+}
+
 GBytes *
 bv_peer_message_encode(const bv_peer_message_t *message)
 {
     msgpack_sbuffer buffer;
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
+    reserve(&buffer, message);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
     msgpack_pack_array(&packer, MESSAGE_FIELD_COUNT);
     pack_header(&packer, message);
@@ -221,14 +240,14 @@
 }
 
 static bv_peer_message_t *
-unpack_message(const msgpack_object *root, GError **error)
+unpack_message(const msgpack_object *root, GBytes *frame, GError **error)
 {
     if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size == 0) {
         g_set_error(error, BV_PEER_ERROR, BV_PEER_ERROR_INVALID,
                     "the message is not a MessagePack array");
         return NULL;
     }
-    bv_unpack_t unpack = {.array = &root->via.array};
+    bv_unpack_t unpack = {.array = &root->via.array, .frame = frame};
     uint64_t version = bv_unpack_number(&unpack, UINT64_MAX);
     if (unpack.has_failed || version != BV_PEER_VERSION) {
         g_set_error(error, BV_PEER_ERROR, BV_PEER_ERROR_VERSION,
@@ -251,8 +270,8 @@
     return message;
 }
 
-bv_peer_message_t *
-bv_peer_message_decode(const void *data, size_t size, GError **error)
+static bv_peer_message_t *
+decode(const void *data, size_t size, GBytes *frame, GError **error)
 {
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
@@ -262,7 +281,7 @@
         msgpack_unpack_next(&unpacked, data, size, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         offset == size) {
-        message = unpack_message(&unpacked.data, error);
+        message = unpack_message(&unpacked.data, frame, error);
     }
     else {
         g_set_error(error, BV_PEER_ERROR, BV_PEER_ERROR_INVALID,
@@ -271,3 +290,17 @@
     msgpack_unpacked_destroy(&unpacked);
     return message;
 }
+
+bv_peer_message_t *
+bv_peer_message_decode(const void *data, size_t size, GError **error)
+{
+    return decode(data, size, NULL, error);
+}
+
+bv_peer_message_t *
+bv_peer_message_decode_frame(GBytes *frame, GError **error)
+{
+    gsize size;
+    const void *data = g_bytes_get_data(frame, &size);
+    return decode(data, size, frame, error);
+}
--- a/peer/pack.c
+++ b/peer/pack.c
@@ -104,6 +104,16 @@
     memcpy(buffer, element->via.bin.ptr, size);
 }
 
+static GBytes *
+share_or_copy(GBytes *frame, const char *data, size_t size)
+{
+    if (frame == NULL || size < BV_UNPACK_SHARED_BYTES) {
+        return g_bytes_new(data, size);
+    }
+    const char *start = g_bytes_get_data(frame, NULL);
+    return g_bytes_new_from_bytes(frame, (gsize)(data - start), size);
+}
+
 GBytes *
 bv_unpack_bytes(bv_unpack_t *unpack, size_t limit_bytes)
 {
@@ -118,7 +128,8 @@
         unpack->has_failed = true;
         return NULL;
     }
-    return g_bytes_new(element->via.bin.ptr, element->via.bin.size);
+    return share_or_copy(unpack->frame, element->via.bin.ptr,
+                         element->via.bin.size);
 }
 
 bv_unpack_t
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -1,4 +1,5 @@
 #include "berylvane/peer/message.h"
+#include "berylvane/peer/pack.h"
 #include "berylvane/peer/quota_codec.h"
 #include "support.h"
 
@@ -32,6 +33,60 @@
 }
 END_TEST
 
+static const struct {
+    size_t body_bytes;
+    bool is_shared;
+} frame_cases[] = {
+    {0, false},
+    {BV_UNPACK_SHARED_BYTES - 1, false},
+    {BV_UNPACK_SHARED_BYTES, true},
+    {1048576, true},
+};
+
+/*
+ * Guards against a copy of each large body, and against a body that does not
+ * outlive the frame that it was received in.
+ */
+START_TEST(test_frame)
+{
+    size_t body_bytes = frame_cases[_i].body_bytes;
+    char *content = g_malloc(body_bytes);
+    memset(content, 'x', body_bytes);
+    bv_peer_message_t *message = bv_peer_message_create(BV_PEER_ANSWER);
+    g_strlcpy(message->from, "stock-1", BV_NAME_BYTES);
+    message->body = g_bytes_new_take(content, body_bytes);
+    GBytes *frame = bv_peer_message_encode(message);
+    const char *start = g_bytes_get_data(frame, NULL);
+    const char *end = start + g_bytes_get_size(frame);
+    bv_peer_message_t *decoded = bv_peer_message_decode_frame(frame, NULL);
+    ck_assert_ptr_nonnull(decoded);
+    const char *body = g_bytes_get_data(decoded->body, NULL);
+    ck_assert_int_eq(body >= start && body < end, frame_cases[_i].is_shared);
+    g_bytes_unref(frame);
+    ck_assert(g_bytes_equal(decoded->body, message->body));
+    bv_peer_message_destroy(decoded);
+    bv_peer_message_destroy(message);
+}
+END_TEST
+
+/* A large frame that is truncated anywhere must be refused. */
+START_TEST(test_truncated_frame)
+{
+    bv_peer_message_t *message = bv_peer_message_create(BV_PEER_ANSWER);
+    g_strlcpy(message->from, "stock-1", BV_NAME_BYTES);
+    message->body = g_bytes_new_take(g_malloc0(BV_UNPACK_SHARED_BYTES),
+                                     BV_UNPACK_SHARED_BYTES);
+    GBytes *frame = bv_peer_message_encode(message);
+    for (gsize size = 0; size < g_bytes_get_size(frame); size += 97) {
+        GBytes *part = g_bytes_new_from_bytes(frame, 0, size);
+        ck_assert_ptr_null(bv_peer_message_decode_frame(part, NULL));
+        g_bytes_unref(part);
+    }
+    g_bytes_unref(frame);
+    bv_peer_message_destroy(message);
+}
+END_TEST
+
 /*
  * Guards against crashes on corrupted messages: a message of which one byte
  * was changed, complete or truncated, must be decoded or refused.
@@ -182,6 +237,8 @@
     support_parse_arguments(argc, argv);
     const support_test_t tests[] = {
         {"round_trip", test_round_trip, 1},
+        {"frame", test_frame, G_N_ELEMENTS(frame_cases)},
+        {"truncated_frame", test_truncated_frame, 1},
         {"damaged", test_damaged, 1},
         {"quota_round_trip", test_quota_round_trip, 1},
         {"quota_limits", test_quota_limits, G_N_ELEMENTS(quota_bodies)},
