Gossip: resolve addresses for the socket's family

An idle node spent a fifth of its system calls on listing the machine's addresses: with APR_UNSPEC the resolver opens a netlink socket and dumps all addresses (socket, bind, getsockname, send, two receives, close) for each gossip datagram that is sent.

The address is resolved for the family of the gossip socket; a datagram to another family could not be sent by it before either.

--- a/peer/gossip.c
+++ b/peer/gossip.c
@@ -15,6 +15,8 @@
 struct bv_gossip {
     bv_gossip_options_t options;
     apr_socket_t *socket;
+    /* Address family of the socket. */
+    apr_int32_t family;
     apr_thread_t *thread;
     apr_pool_t *send_pool;
     gint is_stopping;
@@ -86,6 +88,7 @@
     apr_status_t status = apr_sockaddr_info_get(
         &address, options->address, APR_UNSPEC, options->port, 0, pool);
     if (status == APR_SUCCESS) {
+        gossip->family = address->family;
         status = apr_socket_create(&gossip->socket, address->family,
                                    SOCK_DGRAM, APR_PROTO_UDP, pool);
     }
@@ -125,8 +128,12 @@
     if (gossip->options.key_count > 0) {
         compute_mac(gossip, 0, buffer + MAC_BYTES, size, buffer);
     }
+    /*
+     * With APR_UNSPEC the resolver would list all addresses of the machine
+     * for each datagram, in five system calls.
+     */
     apr_sockaddr_t *address;
-    if (apr_sockaddr_info_get(&address, to->address, APR_UNSPEC,
+    if (apr_sockaddr_info_get(&address, to->address, gossip->family,
                               to->gossip_port, 0,
                               gossip->send_pool) != APR_SUCCESS) {
         return;
