--- a/peer/link.c
+++ b/peer/link.c
@@ -3,6 +3,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/peer/pack.h"
 
 #include <string.h>
 #include <sys/epoll.h>
@@ -220,13 +221,37 @@
     }
 }
 
+static void
+free_frame(gpointer data)
+{
+    zmq_msg_close(data);
+    g_free(data);
+}
+
+/* Decodes a frame; the body of a large message takes over its content. */
+static bv_peer_message_t *
+decode(zmq_msg_t *frame, GError **error)
+{
+    size_t size = zmq_msg_size(frame);
+    if (size < BV_UNPACK_SHARED_BYTES) {
+        return bv_peer_message_decode(zmq_msg_data(frame), size, error);
+    }
+    zmq_msg_t *owned = g_new(zmq_msg_t, 1);
+    zmq_msg_init(owned);
+    zmq_msg_move(owned, frame);
+    GBytes *bytes = g_bytes_new_with_free_func(zmq_msg_data(owned), size,
+                                               free_frame, owned);
+    bv_peer_message_t *message = bv_peer_message_decode_frame(bytes, error);
+    g_bytes_unref(bytes);
+    return message;
+}
+
 static void
 decode_and_deliver(bv_link_t *link, zmq_msg_t *frame, GBytes *identity,
                    uint64_t session)
 {
     GError *error = NULL;
-    bv_peer_message_t *message = bv_peer_message_decode(
-        zmq_msg_data(frame), zmq_msg_size(frame), &error);
+    bv_peer_message_t *message = decode(frame, &error);
     if (message == NULL) {
         bv_counter_add(BV_COUNT_PEER_BAD, 1);
         bv_log(BV_LOG_WARN, "peer_message_bad", "error", error->message, NULL);
