Load tool sends API keys; targets record time and customer

Cause: requests of client accounts could not be sent by the load tool, and the record of a target told neither when a request began nor for which customer.

Change: a kind of request has a setting api_key, sent as a bearer token.

--- a/load/load.h
+++ b/load/load.h
@@ -53,6 +53,8 @@
      * for all attempts of a request.
      */
     bool sends_own_key;
+    /* Sent as "Authorization: Bearer KEY"; NULL: no key is sent. */
+    char *api_key;
     /*
      * Addresses for this kind; if empty, those of the settings are used.
      * `entries_json` is NULL once the settings are loaded.
--- a/load/run.c
+++ b/load/run.c
@@ -189,7 +189,7 @@
 }
 
 static char *
-build_headers(const request_t *request)
+build_headers(const request_t *request, const load_kind_t *kind)
 {
     GString *lines = g_string_new(NULL);
     g_string_append_printf(lines, "%s: %s\r\n", BV_HEADER_CUSTOMER,
@@ -198,6 +198,10 @@
         g_string_append_printf(lines, "%s: %s\r\n", BV_HEADER_IDEMPOTENCY_KEY,
                                request->key);
     }
+    if (kind->api_key != NULL) {
+        g_string_append_printf(lines, "Authorization: Bearer %s\r\n",
+                               kind->api_key);
+    }
     return g_string_free(lines, FALSE);
 }
 
@@ -219,7 +223,7 @@
     attempt->sender = sender;
     attempt->request = request;
     http_request->id = ++sender->next_attempt_id;
-    http_request->headers = build_headers(request);
+    http_request->headers = build_headers(request, kind);
     http_request->body =
         request->body != NULL ? g_bytes_ref(request->body) : NULL;
     http_request->uses_fresh_connection = strcmp(kind->method, "POST") == 0;
--- a/load/settings.c
+++ b/load/settings.c
@@ -41,6 +41,9 @@
     {.name = "own_key",
      .kind = BV_FIELD_BOOLEAN,
      .offset = offsetof(load_kind_t, sends_own_key)},
+    {.name = "api_key",
+     .kind = BV_FIELD_STRING,
+     .offset = offsetof(load_kind_t, api_key)},
     {.name = "entries",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(load_kind_t, entries_json)},
@@ -170,6 +173,7 @@
         g_free(settings->kinds[i].name);
         g_free(settings->kinds[i].method);
         g_free(settings->kinds[i].path);
+        g_free(settings->kinds[i].api_key);
         clear_entries(&settings->kinds[i].entries);
     }
 }
--- a/standin/target/jobs.c
+++ b/standin/target/jobs.c
@@ -141,8 +141,10 @@
         return;
     }
     char *line = g_strdup_printf(
-        "%s %s %s %s\n", target->settings->service, call->method, call->path,
-        call->idempotency_key != NULL ? call->idempotency_key : "-");
+        "%s %s %s %s %" G_GINT64_FORMAT " %s\n", target->settings->service,
+        call->method, call->path,
+        call->idempotency_key != NULL ? call->idempotency_key : "-",
+        bv_clock_now_us(), call->customer != NULL ? call->customer : "-");
     ssize_t written = write(target->record_fd, line, strlen(line));
     (void)written;
     g_free(line);
