Soak: client accounts, a change of keys and quotas

Cause: the soak ran without accounts, so that neither keys nor quotas were checked under faults.

That step is not drawn, so that the other steps of a seed stay what they were. After the faults each node serves the added key and answers the removed one with 401.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -43,17 +43,25 @@
 
 /*
  * Sends a request to a port and returns the status of the answer, 0 if there
- * is none. If `answer` is given, sets it to the JSON body, NULL if it is not
- * JSON.
+ * is none. `api_key` may be NULL. If `answer` is given, sets it to the JSON
+ * body, NULL if it is not JSON.
  */
 static uint16_t
 request_status(uint16_t port, const char *method, const char *path,
-               const char *body, int64_t timeout_us, json_t **answer)
+               const char *api_key, const char *body, int64_t timeout_us,
+               json_t **answer)
 {
     char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
     GBytes *bytes = body != NULL ? g_bytes_new(body, strlen(body)) : NULL;
-    bv_http_call_t call = {
-        .method = method, .url = url, .body = bytes, .timeout_us = timeout_us};
+    char *headers =
+        api_key != NULL
+            ? g_strdup_printf("Authorization: Bearer %s\r\n", api_key)
+            : NULL;
+    bv_http_call_t call = {.method = method,
+                           .url = url,
+                           .headers = headers,
+                           .body = bytes,
+                           .timeout_us = timeout_us};
     bv_http_reply_t reply = bv_http_call(&call);
     uint16_t status = reply.status;
     if (answer != NULL) {
@@ -63,6 +71,7 @@
     }
     bv_http_reply_clear(&reply);
     g_clear_pointer(&bytes, g_bytes_unref);
+    g_free(headers);
     g_free(url);
     return status;
 }
@@ -74,7 +83,7 @@
     json_t *status = NULL;
     uint16_t port = cluster_ports(soak->cluster, instance)->operators;
     int64_t generation = -1;
-    if (request_status(port, "GET", "/status", NULL, STATUS_TIMEOUT_US,
+    if (request_status(port, "GET", "/status", NULL, NULL, STATUS_TIMEOUT_US,
                        &status) == 200) {
         generation = json_integer_value(json_object_get(status, "generation"));
     }
@@ -139,15 +148,28 @@
         if (bv_clock_now_us() > end_us) {
             return false;
         }
-        bool succeeded = request_status(port, "GET", "/catalogue/saddles",
-                                        NULL, CALL_TIMEOUT_US, NULL) == 200 &&
-                         request_status(port, "POST", "/orders", "a saddle",
-                                        CALL_TIMEOUT_US, NULL) == 200;
+        bool succeeded =
+            request_status(port, "GET", "/catalogue/saddles", SOAK_ADDED_KEY,
+                           NULL, CALL_TIMEOUT_US, NULL) == 200 &&
+            request_status(port, "POST", "/orders", SOAK_ADDED_KEY, "a saddle",
+                           CALL_TIMEOUT_US, NULL) == 200;
         successes = succeeded ? successes + 1 : 0;
     }
     return true;
 }
 
+static void
+check_removed_key(soak_t *soak, size_t instance)
+{
+    uint16_t status = request_status(
+        cluster_ports(soak->cluster, instance)->outside, "GET",
+        "/catalogue/saddles", SOAK_REMOVED_KEY, NULL, CALL_TIMEOUT_US, NULL);
+    if (status != 401) {
+        soak_finding(soak, "%s answers the removed key with %u, not 401",
+                     cluster_instance_name(soak->cluster, instance), status);
+    }
+}
+
 void
 soak_check_recovery(soak_t *soak)
 {
@@ -176,5 +198,6 @@
                 soak, "%s does not answer lookups and orders after the faults",
                 name);
         }
+        check_removed_key(soak, i);
     }
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,5 +1,7 @@
 #include "soak.h"
 
+#include "berylvane/common/clock.h"
+
 #include <signal.h>
 
 #define PLATFORM_CONTROL "/control"
@@ -217,6 +219,18 @@
     }
 }
 
+/* The change may fail under faults; later documents have the same keys. */
+static void
+change_keys(soak_t *soak, size_t instance, const char *json)
+{
+    g_free(soak->base);
+    g_free(soak->base_changed);
+    soak->base = g_steal_pointer(&soak->base_keys);
+    soak->base_changed = g_steal_pointer(&soak->base_changed_keys);
+    soak->keys_changed_us = bv_clock_now_us();
+    apply_base(soak, instance, json);
+}
+
 const soak_fault_t soak_faults[] = {
     {"node killed", kill_node, start_node, NULL, false},
     {"node terminated", terminate_node, start_node, NULL, false},
@@ -250,5 +264,6 @@
     {"store loses answers", set_store_faults, clear_store_faults,
      "{\"lose_answers_percent\": 40}", true},
     {"configuration change", apply_base, nothing_to_clear, NULL, true},
+    {"keys changed", change_keys, nothing_to_clear, NULL, true},
 };
-const size_t soak_fault_count = G_N_ELEMENTS(soak_faults);
+const size_t soak_fault_count = G_N_ELEMENTS(soak_faults) - 1;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -153,6 +153,7 @@
     g_thread_join(watcher);
     soak_check_processes(soak);
     soak_check_recovery(soak);
+    soak_check_records(soak);
     json_decref(load.settings);
     g_free(load.report_path);
 }
@@ -166,7 +167,7 @@
         .build_directory = SOAK_BUILD,
         .work_directory = work,
         .deployment = deployment,
-        .deployment_directory = SOAK_SOURCE,
+        .deployment_directory = work,
     };
     soak->cluster = cluster_start(&cluster, &error);
     if (soak->cluster == NULL) {
@@ -184,24 +185,46 @@
     }
 }
 
+static void
+write_bases(soak_t *soak, const json_t *deployment, const char *work)
+{
+    soak->base = soak_write_base(deployment, work, "base", false);
+    soak->base_changed =
+        soak_write_base(deployment, work, "base_changed", false);
+    soak->base_keys = soak_write_base(deployment, work, "base", true);
+    soak->base_changed_keys =
+        soak_write_base(deployment, work, "base_changed", true);
+}
+
+static void
+clear(soak_t *soak)
+{
+    g_ptr_array_unref(soak->findings);
+    g_mutex_clear(&soak->mutex);
+    g_free(soak->base);
+    g_free(soak->base_changed);
+    g_free(soak->base_keys);
+    g_free(soak->base_changed_keys);
+}
+
 /* Returns true if no guarantee was violated. */
 static bool
 run_seed(const json_t *deployment, uint32_t seed, int64_t seconds)
 {
     soak_t soak = {
-        .base = SOAK_SOURCE "/../e2e/base.json",
-        .base_changed = SOAK_SOURCE "/../e2e/base_changed.json",
+        .accounts = json_object_get(deployment, "accounts"),
+        .keys_changed_us = INT64_MAX,
         .findings = g_ptr_array_new_with_free_func(g_free),
     };
     g_mutex_init(&soak.mutex);
     char *work = g_dir_make_tmp("berylvane-soak-XXXXXX", NULL);
+    write_bases(&soak, deployment, work);
     printf("seed %u, %d s, logs in %s\n", seed, (int)seconds, work);
     run_cluster(&soak, deployment, work, seed, seconds);
     bool passed = soak.findings->len == 0;
     printf("seed %u: %s, %u faults, %u findings\n", seed,
            passed ? "ok" : "failed", soak.faults, soak.findings->len);
-    g_ptr_array_unref(soak.findings);
-    g_mutex_clear(&soak.mutex);
+    clear(&soak);
     g_free(work);
     return passed;
 }
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -67,6 +67,8 @@
     for (int64_t i = 0; i < series; i++) {
         add_series(plan, random, instances, length_us);
     }
+    soak_step_t key_change = {.fault = soak_fault_count};
+    add_step(plan, key_change, length_us / 2, true);
     g_array_sort(plan, compare_steps);
     g_rand_free(random);
     return plan;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,6 +13,11 @@
  */
 #define SOAK_NODES_LIMIT 64
 
+/* The account of which one step removes a key and adds another; no rate. */
+#define SOAK_CHANGED_ACCOUNT "checks"
+#define SOAK_REMOVED_KEY "checks-removed"
+#define SOAK_ADDED_KEY "checks-added"
+
 typedef struct soak soak_t;
 
 /*
@@ -39,8 +44,18 @@
 struct soak {
     cluster_t *cluster;
     /* Paths of the two base documents that are applied in turn. */
-    const char *base;
-    const char *base_changed;
+    char *base;
+    char *base_changed;
+    /* Those that replace them when the keys change. */
+    char *base_keys;
+    char *base_changed_keys;
+    /* The accounts of the deployment file, with their keys and rates. */
+    json_t *accounts;
+    /*
+     * Time before the first configuration with the changed keys was sent;
+     * INT64_MAX until then.
+     */
+    int64_t keys_changed_us;
     soak_node_t nodes[SOAK_NODES_LIMIT];
     /* Highest generation seen at any node. */
     int64_t generation;
@@ -71,6 +86,11 @@
     bool is_platform_fault;
 } soak_fault_t;
 
+/*
+ * The kinds of faults that a plan draws from. They are followed by one more,
+ * the change of keys, which each plan holds once: it is not drawn, so that the
+ * other steps of a seed stay what they were.
+ */
 extern const soak_fault_t soak_faults[];
 extern const size_t soak_fault_count;
 
@@ -91,6 +111,21 @@
  */
 GArray *soak_plan(uint32_t seed, size_t instances, int64_t length_us);
 
+/*
+ * Writes the document `name` of the end-to-end tests with the deployment's
+ * accounts into the folder `work`. Returns its path, to be freed with
+ * g_free().
+ */
+char *soak_write_base(const json_t *deployment, const char *work,
+                      const char *name, bool has_changed_keys);
+
+/*
+ * After the load: reports each request of an outside caller in the targets'
+ * records that ran without a valid key or for another account than its key's,
+ * and each account that ran more in some window of 5 s than its quota allows.
+ */
+void soak_check_records(soak_t *soak);
+
 /* Reports each node that ended although no signal to end was sent to it. */
 void soak_check_processes(soak_t *soak);
 
@@ -103,7 +138,8 @@
 /*
  * After all faults: applies a configuration, and reports each node that does
  * not become ready, adopt every accepted configuration, and serve lookups and
- * orders within two minutes.
+ * orders with the added key within two minutes, or still accepts the removed
+ * key after that.
  */
 void soak_check_recovery(soak_t *soak);
 
