test_read_ahead: both orders of the end of input and the answer

Where the caller's shutdown reached the listener before the queued reply, the end of the input was taken for a closed connection, and a disconnect was reported.

Change: the check runs once in each order and waits for an event in place of the race: for the first bytes of the response, which the listener sends when it has seen the end, or for the answer before the caller shuts down. What it asserts is unchanged.

--- a/tests/test_read_ahead.c
+++ b/tests/test_read_ahead.c
@@ -456,9 +456,22 @@
 }
 END_TEST
 
-/* A body that never comes costs its own connection alone. */
+/* Waits until the listener has written something to the connection. */
+static void
+wait_written(int fd)
+{
+    char first;
+    ck_assert_msg(recv(fd, &first, 1, MSG_PEEK) == 1, "nothing is written");
+}
+
+/*
+ * A body that never comes costs its own connection alone, whether the input
+ * ends before or after the call ahead of it is answered. The listener tells
+ * that it has seen the end by the first bytes of the next response.
+ */
 START_TEST(test_body_never_comes)
 {
+    bool ends_first = _i == 1;
     fixture_t fixture;
     gint answered_before;
     start(&fixture);
@@ -466,14 +479,22 @@
     char *others = write_requests("b");
     int fd = raw_connect(fixture.port);
     int other_fd = raw_connect(fixture.port);
-    raw_send(fd, requests, strlen(requests), FALSE);
+    raw_send(fd, requests, strlen(requests), ends_first);
     ck_assert_int_eq(take_call(&fixture, &answered_before), 'a');
-    raw_send(other_fd, others, strlen(others), FALSE);
+    raw_send(other_fd, others, strlen(others), ends_first);
     ck_assert_int_eq(take_call(&fixture, &answered_before), 'b');
+    if (ends_first) {
+        wait_written(fd);
+        wait_written(other_fd);
+    }
     answer(&fixture, 'a', 200, 2, false);
     answer(&fixture, 'b', 200, 2, false);
-    shutdown(fd, SHUT_WR);
-    shutdown(other_fd, SHUT_WR);
+    if (!ends_first) {
+        wait_written(fd);
+        wait_written(other_fd);
+        shutdown(fd, SHUT_WR);
+        shutdown(other_fd, SHUT_WR);
+    }
     char *answers = raw_read(fd);
     char *other_answers = raw_read(other_fd);
     char *summary = summarize(answers);
@@ -553,7 +574,7 @@
         {"caller_leaves", test_caller_leaves, 1},
         {"half_closed", test_half_closed, G_N_ELEMENTS(half_closed_cases)},
         {"half_closed_leaves", test_half_closed_leaves, 1},
-        {"body_never_comes", test_body_never_comes, 1},
+        {"body_never_comes", test_body_never_comes, 2},
         {"endless_sender", test_endless_sender, 1},
         {NULL}};
     pool = bv_program_start();
