Quota: an account cannot lend a second burst when the first leaves the window

While the window was used up the bucket went on filling, so a second full burst went out as soon as the first one left the window. Permits that a node uses late, at most 0.5 s after it requested them, fall into one window with it, and the bound was exceeded.

The bucket now holds no more than the window has room for.

--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -139,6 +139,13 @@
                     gain_per_s(lessor, &account->limit) / US_PER_S;
     account->permits =
         MIN(account->permits + gained, capacity_of(lessor, &account->limit));
+    /*
+     * Permits used after a delay fall into one window with those of the next
+     * burst: a bucket that filled while the window is used up would lend a
+     * second burst as soon as the first one leaves the window.
+     */
+    account->permits =
+        MIN(account->permits, MAX(window_room(lessor, account, now_us), 0));
     account->backlog = MAX(account->backlog - gained, 0);
     account->filled_us = now_us;
 }
