Quota: Retry-After falls after an overload; a changed window starts again

Refused requests added to the backlog of a bucket without a limit, so that Retry-After stayed at 5 s until the rate had made up for all of them. The backlog is now at most what the rate gives in these 5 s. Test: 10,000 refused requests at rate 10, and 10 s later a delay of 200 ms; before, 5 s.

When the setting of the window changed, buckets in use went on counting by the window of the old length. They now start again empty. Test: a bucket with permits lends nothing right after the change; before, it lent.

--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -78,10 +78,32 @@
     return bounds->overage * bv_quota_in_window(limit, bounds) + bounds->slack;
 }
 
+/*
+ * Makes the buckets in use start again empty. What they lent is counted by the
+ * window of that time.
+ */
+static void
+restart_buckets(const bv_quota_lessor_t *lessor, int64_t now_us)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, lessor->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        account_t *account = value;
+        if (account->is_in_use) {
+            account->is_in_use = false;
+            account->known_us = now_us;
+        }
+    }
+}
+
 void
-bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor,
+bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor, int64_t now_us,
                            const bv_quota_bounds_t *bounds)
 {
+    if (bounds->window_us != lessor->bounds.window_us) {
+        restart_buckets(lessor, now_us);
+    }
     lessor->bounds = *bounds;
 }
 
@@ -241,7 +263,9 @@
 {
     double rate = gain_per_s(lessor, &account->limit);
     account->refused += count;
-    account->backlog += count;
+    /* More would state the longest delay for long after an overload. */
+    account->backlog = MIN(account->backlog + count,
+                           rate * BV_QUOTA_WAIT_LIMIT_US / US_PER_S);
     double wait_us = MAX(1 - account->permits, 0) / rate * US_PER_S;
     if (window_room(lessor, account, now_us) < 1) {
         wait_us = MAX(wait_us,
--- a/include/berylvane/core/quota_lessor.h
+++ b/include/berylvane/core/quota_lessor.h
@@ -28,10 +28,12 @@
 void bv_quota_lessor_destroy(bv_quota_lessor_t *lessor);
 
 /*
- * Sets the bounds of all quotas. Without, or with a window of 0, there is no
- * limit by window, and the capacity of a bucket is the burst.
+ * Sets the bounds of all quotas. When the window changes, the buckets in use
+ * start again empty at `now_us`. Without bounds, or with a window of 0, there
+ * is no limit by window, buckets gain the rate, and their capacity is the
+ * burst, but at least one permit and what the rate gives in 50 ms.
  */
-void bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor,
+void bv_quota_lessor_set_bounds(bv_quota_lessor_t *lessor, int64_t now_us,
                                 const bv_quota_bounds_t *bounds);
 
 /* Sets the limit of an account. A new account's bucket is empty. */
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -422,8 +422,8 @@
         .overage = (double)settings->quota_overage_percent / PERCENT,
         .slack = (double)settings->quota_slack,
     };
-    bv_quota_lessor_set_bounds(quotas->lessor, &bounds);
     int64_t now_us = advance(node);
+    bv_quota_lessor_set_bounds(quotas->lessor, now_us, &bounds);
     bool has_started = bv_quota_members_has_started(quotas->members, now_us);
     uint32_t members = bv_quota_members_most_seen(quotas->members);
     bv_quota_holder_set_floor(quotas->holder, &bounds,
--- a/tests/quota_cluster.c
+++ b/tests/quota_cluster.c
@@ -457,7 +457,7 @@
         bv_quota_lessor_forget(node->lessor, keeps_bucket, node);
     }
     bool has_started = bv_quota_members_has_started(node->members, now_us);
-    bv_quota_lessor_set_bounds(node->lessor, &cluster->bounds);
+    bv_quota_lessor_set_bounds(node->lessor, now_us, &cluster->bounds);
     bv_quota_holder_set_floor(
         node->holder, &cluster->bounds,
         has_started ? bv_quota_members_most_seen(node->members) : 0);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -402,7 +402,7 @@
     bv_quota_lessor_t *lessor = bv_quota_lessor_create();
     bv_quota_limit_t limit = {10, 20};
     bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
-    bv_quota_lessor_set_bounds(lessor, &bounds);
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
     bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
     for (size_t i = 0; i < G_N_ELEMENTS(burst_steps); i++) {
         const burst_case_t *step = &burst_steps[i];
@@ -416,6 +416,51 @@
 }
 END_TEST
 
+/*
+ * Guards against a bucket that keeps counting by a window that is no longer
+ * configured: it starts again empty.
+ */
+START_TEST(test_window_changed)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
+    bv_quota_request_t request = {QUOTA_ACCOUNT, 1, 1};
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 5 * SECOND_US, 0, &request).granted, 1);
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 1);
+    bounds.window_us = SECOND_US;
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 0);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+/*
+ * Guards against callers that are told to stay away for 5 s long after an
+ * overload: what is refused counts only as far as it affects the delay.
+ */
+START_TEST(test_backlog)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_request_t overload = {QUOTA_ACCOUNT, 10000, 10000};
+    bv_quota_request_t later = {QUOTA_ACCOUNT, 21, 21};
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    ck_assert_int_eq(bv_quota_lessor_lend(lessor, 0, 0, &overload).retry_us,
+                     BV_QUOTA_WAIT_LIMIT_US);
+    ck_assert_int_eq(
+        bv_quota_lessor_lend(lessor, 10 * SECOND_US, 0, &later).retry_us,
+        200 * MS);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
 static bool
 is_never(void *context, const char *account)
 {
@@ -768,6 +813,8 @@
     const support_test_t tests[] = {
         {"lend", test_lend, 1},
         {"burst", test_burst, 1},
+        {"window_changed", test_window_changed, 1},
+        {"backlog", test_backlog, 1},
         {"forget", test_forget, 1},
         {"members", test_members, G_N_ELEMENTS(member_cases)},
         {"suspension", test_suspension, 1},
