Quota: one lost request much later does not start the floor

The first failure of a request is remembered, and a second one proves the lessor silent. If the call had left meanwhile, nothing was repeated, the first failure stayed, and a single lost message any time later started the floor. It is now forgotten when nothing is to be sent and no other request is open. A request that has timed out does not count as open, since it is removed only later, when nothing looks at the account.

Test: a second request lost 59 s after the first is repeated (3 messages); before, the floor applied (2 messages).

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -530,6 +530,21 @@
                : 0;
 }
 
+/*
+ * Without a repetition a failure proves nothing; the next one counts as the
+ * first.
+ */
+static void
+forget_failure(account_t *account)
+{
+    for (GList *item = account->asks.head; item != NULL; item = item->next) {
+        if (!((ask_t *)item->data)->has_timed_out) {
+            return;
+        }
+    }
+    account->failed_us = 0;
+}
+
 /* Whether the calls that wait must share the next request. */
 static bool
 must_share(const account_t *account, int64_t now_us)
@@ -584,6 +599,9 @@
         else if (build_entry(holder, account, now_us, &entry)) {
             g_array_append_val(entries, entry);
         }
+        else {
+            forget_failure(account);
+        }
     }
     g_ptr_array_unref(pending);
     g_array_sort(entries, compare_entries);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -739,6 +739,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a lost message that is taken for the repetition of one lost
+ * long before, whose call has left: the request is repeated before the floor
+ * applies.
+ */
+START_TEST(test_failure_forgotten)
+{
+    holder_calls_t calls = {0};
+    bv_quota_permit_t permit;
+    bv_quota_holder_t *holder = create_holder(&calls, 2);
+    charge(holder, SECOND_US, &permit);
+    bv_quota_holder_leave(holder, QUOTA_ACCOUNT, SECOND_US);
+    advance_holder(holder, SECOND_US + 260 * MS);
+    advance_holder(holder, SECOND_US + 600 * MS);
+    ck_assert_uint_eq(calls.asked, 1);
+    charge(holder, 60 * SECOND_US, &permit);
+    advance_holder(holder, 60 * SECOND_US + 260 * MS);
+    ck_assert_uint_eq(calls.asked, 3);
+    ck_assert_uint_eq(calls.admitted, 0);
+    bv_quota_holder_destroy(holder);
+}
+END_TEST
+
 typedef struct {
     /* Times after the request of the permit. */
     int64_t replied_us;
@@ -819,6 +842,7 @@
         {"members", test_members, G_N_ELEMENTS(member_cases)},
         {"suspension", test_suspension, 1},
         {"silent_lessor", test_silent_lessor, G_N_ELEMENTS(floor_cases)},
+        {"failure_forgotten", test_failure_forgotten, 1},
         {"permit_expires", test_permit_expires, G_N_ELEMENTS(permit_cases)},
         {"leave", test_leave, 1},
         {"scenario", test_scenario, G_N_ELEMENTS(scenarios)},
