Platform: QuotaOverage is rounded down

0.125 became 13%, which allows more requests than the platform does. It is 12% now; 0.29 stays 29. test_deploy_template has a row for 0.125, which fails before with 13.

--- a/tests/test_deploy_template.c
+++ b/tests/test_deploy_template.c
@@ -68,6 +68,10 @@
             "\"QuotaSlack\": 30") "}",
      DEFAULT_DRAIN_LIMIT_MS, DRAIN_NOTICE_MS, 0, 0, DEFAULT_REVOKE_MS, false,
      2500, 29, 30, LEAST_MEMORY_MB, 0},
+    /* Not rounded up: the quota would exceed the platform's bound. */
+    {FIELDS("\"QuotaOverage\": 0.125") "}", DEFAULT_DRAIN_LIMIT_MS,
+     DRAIN_NOTICE_MS, 0, 0, DEFAULT_REVOKE_MS, false, 5000, 12, 20,
+     LEAST_MEMORY_MB, 0},
 };
 
 static bv_settings_t *
