Quota: truthful answers at the drain limit, for repeats, and in observe mode

At the drain limit, calls without a key that wait for a permit or for memory got 504 with an unknown outcome, though they have not run. They get 503, not run, reason "draining".

Calls that share the 429 of another call with the same idempotency key got no Retry-After. They are told the least delay, with its spread.

In observe mode a call left the queue before its request was sent, so that nothing was charged and no refusal was counted. Its entry now waits without the call; a permit that arrives for it is used up, and a refusal counts as reason_quota.

--- a/include/berylvane/node/quotas.h
+++ b/include/berylvane/node/quotas.h
@@ -27,6 +27,12 @@
 void bv_quotas_end_wait(bv_node_t *node, bv_call_state_t *state,
                         bv_reason_t reason);
 
+/*
+ * Returns the delay that a caller is told whose call shares the refusal of
+ * another call with the same idempotency key.
+ */
+int64_t bv_quotas_least_retry_us(bv_node_t *node);
+
 /* Must be called with the outcome of each call that ends. */
 void bv_quotas_settle(bv_node_t *node, bv_call_state_t *state,
                       bv_outcome_t outcome);
--- a/node/calls.c
+++ b/node/calls.c
@@ -10,11 +10,12 @@
 
 /* Returns the delay of a refused caller's retry; 0 for other answers. */
 static int64_t
-retry_after_us(const bv_node_t *node, const bv_call_state_t *state,
+retry_after_us(bv_node_t *node, const bv_call_state_t *state,
                const bv_reply_t *reply)
 {
     if (reply->reason == BV_REASON_QUOTA) {
-        return state->quota_retry_us;
+        return state->quota_retry_us > 0 ? state->quota_retry_us
+                                         : bv_quotas_least_retry_us(node);
     }
     if (reply->outcome == BV_OUTCOME_RAN || reply->status != 503) {
         return 0;
@@ -504,17 +505,31 @@
     return g_hash_table_size(node->calls);
 }
 
+/* Whether the call has provably not run: it waits before its first attempt. */
+static bool
+has_not_run(const bv_call_state_t *state)
+{
+    return state->key == NULL &&
+           (bv_quotas_is_waiting(state) || state->memory_until_us > 0);
+}
+
 void
 bv_calls_answer_unknown(bv_node_t *node)
 {
     GList *states = g_hash_table_get_values(node->calls);
-    bv_reply_t reply = {
+    const bv_reply_t not_run = {
+        .status = 503,
+        .outcome = BV_OUTCOME_NOT_RUN,
+        .reason = BV_REASON_DRAINING,
+    };
+    const bv_reply_t unknown = {
         .status = 504,
         .outcome = BV_OUTCOME_UNKNOWN,
         .reason = BV_REASON_DRAINING,
     };
     for (GList *item = states; item != NULL; item = item->next) {
-        bv_calls_finish(node, item->data, &reply);
+        bv_calls_finish(node, item->data,
+                        has_not_run(item->data) ? &not_run : &unknown);
     }
     g_list_free(states);
     g_hash_table_remove_all(node->attempts);
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -170,6 +170,12 @@
     return (int64_t)((double)MAX(retry_us, RETRY_LEAST_US) * spread);
 }
 
+int64_t
+bv_quotas_least_retry_us(bv_node_t *node)
+{
+    return spread_retry_us(node, RETRY_LEAST_US);
+}
+
 static void
 refuse(bv_node_t *node, bv_call_state_t *state, int64_t retry_us)
 {
@@ -179,16 +185,33 @@
     answer(node, state, STATUS_TOO_MANY_REQUESTS, BV_REASON_QUOTA);
 }
 
+/* Returns NULL if the call was observed only, and has started or ended. */
+static bv_call_state_t *
+find_waiting(const bv_node_t *node, uint64_t waiter)
+{
+    bv_call_state_t *state = bv_calls_find(node, waiter);
+    return state != NULL && state->waits_for_permit ? state : NULL;
+}
+
+/* The permit of a call that was observed only is used up. */
 static void
 on_admitted(void *context, uint64_t waiter, const bv_quota_permit_t *permit)
 {
-    start(context, bv_calls_find(context, waiter), permit);
+    bv_call_state_t *state = find_waiting(context, waiter);
+    if (state != NULL) {
+        start(context, state, permit);
+    }
 }
 
 static void
 on_refused(void *context, uint64_t waiter, int64_t retry_us)
 {
-    refuse(context, bv_calls_find(context, waiter), retry_us);
+    bv_call_state_t *state = find_waiting(context, waiter);
+    if (state == NULL) {
+        bv_node_count_reason(BV_REASON_QUOTA);
+        return;
+    }
+    refuse(context, state, retry_us);
 }
 
 static const bv_quota_holder_ops_t holder_ops = {
@@ -236,8 +259,9 @@
 }
 
 /*
- * In observe mode the call is charged, but neither waits nor is refused. A
- * permit that arrives for it later goes to the stock.
+ * In observe mode the call is charged, but neither waits nor is refused. Its
+ * entry in the holder's queue stays, so that a permit is requested for it and
+ * a refusal is counted; the answer does not affect the call.
  */
 static void
 begin_observed(bv_node_t *node, bv_call_state_t *state,
@@ -246,10 +270,6 @@
     if (verdict == BV_QUOTA_REFUSED) {
         bv_node_count_reason(BV_REASON_QUOTA);
     }
-    if (verdict == BV_QUOTA_WAITING) {
-        bv_quota_holder_leave(node->quotas->holder, state->account->name,
-                              state->tag);
-    }
     state->permit = *permit;
     bv_calls_start_attempts(node, state);
 }
