Quota: one meaning for each field, and names that match "request"

candidate_t.settled_us was the time of settling and, for a dead member, of being forgotten; died_us is the time of its death now. In the holder, the names ask_t, asked, extra_asked and the like become open_request_t, waiters_requested, extra_requested; OVER_QUOTA_US becomes SHARED_REQUEST_US.

The invariant quota_requests_have_waiters says that the calls counted by open requests are no more than the calls that wait.

One change of behaviour: a death sets the next time to look at the candidates, so that a dead member is forgotten when due also if nothing else happens.

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -1,5 +1,7 @@
 #include "berylvane/core/quota_holder.h"
 
+#include "berylvane/common/invariant.h"
+
 #include <string.h>
 
 #define US_PER_S 1000000.0
@@ -29,7 +31,7 @@
  * Time after a refusal in which only one request with waiting calls is open:
  * the calls that arrive meanwhile share the next one.
  */
-#define OVER_QUOTA_US (1000 * US_PER_MS)
+#define SHARED_REQUEST_US (1000 * US_PER_MS)
 /* Retry time that is stated when the lessor does not answer. */
 #define FLOOR_RETRY_US (1000 * US_PER_MS)
 #define FLOOR_SHARE 0.5
@@ -51,19 +53,20 @@
      */
     uint32_t wanted;
     bool has_timed_out;
-} ask_t;
+} open_request_t;
 
 typedef struct {
     char *name;
     bv_quota_limit_t limit;
     /* Of lot_t, by time of expiry. */
     GArray *lots;
-    /* Of uint64_t, in order of arrival; the first `asked` are in requests. */
+    /* Of uint64_t, in order of arrival; the first `waiters_requested` are in
+     * requests. */
     GQueue waiters;
-    uint32_t asked;
-    /* Of ask_t, in order of sending. */
-    GQueue asks;
-    uint32_t extra_asked;
+    uint32_t waiters_requested;
+    /* Of open_request_t, in order of sending. */
+    GQueue open_requests;
+    uint32_t extra_requested;
     /* Time from which a failing request proves the lessor silent; 0: none. */
     int64_t failed_us;
     /* Nothing is sent before. */
@@ -106,7 +109,7 @@
 {
     account_t *account = data;
     g_queue_clear_full(&account->waiters, g_free);
-    g_queue_clear_full(&account->asks, g_free);
+    g_queue_clear_full(&account->open_requests, g_free);
     g_queue_clear_full(&account->floor_uses, g_free);
     g_array_unref(account->lots);
     g_free(account->name);
@@ -231,7 +234,7 @@
 static bool
 is_stock_low(const account_t *account, int64_t now_us)
 {
-    uint32_t expected = count_stock(account) + account->extra_asked;
+    uint32_t expected = count_stock(account) + account->extra_requested;
     return now_us >= account->prefetch_due_us &&
            2.0 * expected < account->use_per_s / STOCK_DIVISOR;
 }
@@ -322,13 +325,14 @@
 
 /* Takes one call out of the oldest request that calls wait for. */
 static void
-reduce_asked(account_t *account)
-{
-    for (GList *item = account->asks.head; item != NULL; item = item->next) {
-        ask_t *ask = item->data;
-        if (ask->needed > 0) {
-            ask->needed--;
-            account->asked--;
+reduce_requested(account_t *account)
+{
+    for (GList *item = account->open_requests.head; item != NULL;
+         item = item->next) {
+        open_request_t *request = item->data;
+        if (request->needed > 0) {
+            request->needed--;
+            account->waiters_requested--;
             return;
         }
     }
@@ -354,18 +358,19 @@
 
 /* Makes all open requests requests that no call waits for. */
 static void
-release_asked(account_t *account)
+release_requested(account_t *account)
 {
-    for (GList *item = account->asks.head; item != NULL; item = item->next) {
-        ((ask_t *)item->data)->needed = 0;
+    for (GList *item = account->open_requests.head; item != NULL;
+         item = item->next) {
+        ((open_request_t *)item->data)->needed = 0;
     }
-    account->asked = 0;
+    account->waiters_requested = 0;
 }
 
 static void
 end_waits(bv_quota_holder_t *holder, account_t *account, int64_t now_us)
 {
-    release_asked(account);
+    release_requested(account);
     while (account->waiters.length > 0) {
         if (take_from_floor(holder, account, now_us)) {
             bv_quota_permit_t permit = {BV_QUOTA_FROM_FLOOR, 0};
@@ -401,7 +406,7 @@
     if (account->failed_us == 0) {
         account->failed_us = repeat_us;
         account->hold_until_us = repeat_us;
-        release_asked(account);
+        release_requested(account);
         mark_pending(holder, account);
     }
     else if (sent_us >= account->failed_us) {
@@ -479,8 +484,8 @@
         }
         g_free(item->data);
         g_queue_delete_link(&account->waiters, item);
-        if (index < account->asked) {
-            reduce_asked(account);
+        if (index < account->waiters_requested) {
+            reduce_requested(account);
         }
         return;
     }
@@ -498,8 +503,8 @@
         add_lot(account, 1, permit->expires_us);
         return;
     }
-    if (account->asked > 0) {
-        reduce_asked(account);
+    if (account->waiters_requested > 0) {
+        reduce_requested(account);
     }
     admit_first(holder, account, permit);
 }
@@ -524,7 +529,7 @@
         return 1;
     }
     uint32_t target = (uint32_t)(account->use_per_s / STOCK_DIVISOR);
-    uint32_t expected = count_stock(account) + account->extra_asked;
+    uint32_t expected = count_stock(account) + account->extra_requested;
     return is_stock_low(account, now_us) && target > expected
                ? target - expected
                : 0;
@@ -537,8 +542,9 @@
 static void
 forget_failure(account_t *account)
 {
-    for (GList *item = account->asks.head; item != NULL; item = item->next) {
-        if (!((ask_t *)item->data)->has_timed_out) {
+    for (GList *item = account->open_requests.head; item != NULL;
+         item = item->next) {
+        if (!((open_request_t *)item->data)->has_timed_out) {
             return;
         }
     }
@@ -549,8 +555,25 @@
 static bool
 must_share(const account_t *account, int64_t now_us)
 {
-    return account->asked > 0 &&
-           now_us - account->last_refused_us < OVER_QUOTA_US;
+    return account->waiters_requested > 0 &&
+           now_us - account->last_refused_us < SHARED_REQUEST_US;
+}
+
+/*
+ * Checks that each call that a request counts still waits; otherwise the calls
+ * that are in no request would be miscounted.
+ */
+static void
+check_requested(const account_t *account)
+{
+    uint32_t needed = 0;
+    const GList *item = account->open_requests.head;
+    for (; item != NULL; item = item->next) {
+        needed += ((const open_request_t *)item->data)->needed;
+    }
+    bv_invariant(needed == account->waiters_requested &&
+                     needed <= account->waiters.length,
+                 "quota_requests_have_waiters", account->name);
 }
 
 /* Returns false if the account has nothing to send now. */
@@ -566,7 +589,8 @@
         return false;
     }
     drop_expired(account, now_us);
-    uint32_t needed = account->waiters.length - account->asked;
+    check_requested(account);
+    uint32_t needed = account->waiters.length - account->waiters_requested;
     uint32_t extra = count_extra(holder, account, now_us, lessor);
     bool is_probe = account->is_silent;
     g_strlcpy(entry->lessor, lessor, BV_NAME_BYTES);
@@ -609,18 +633,18 @@
 }
 
 static void
-add_ask(const entry_t *entry, uint64_t sequence, int64_t now_us)
+add_open_request(const entry_t *entry, uint64_t sequence, int64_t now_us)
 {
     account_t *account = entry->account;
-    ask_t *ask = g_new0(ask_t, 1);
-    ask->sequence = sequence;
-    ask->sent_us = now_us;
-    ask->needed = entry->needed;
-    ask->extra = entry->extra;
-    ask->wanted = entry->needed + entry->extra;
-    account->asked += entry->needed;
-    account->extra_asked += entry->extra;
-    g_queue_push_tail(&account->asks, ask);
+    open_request_t *request = g_new0(open_request_t, 1);
+    request->sequence = sequence;
+    request->sent_us = now_us;
+    request->needed = entry->needed;
+    request->extra = entry->extra;
+    request->wanted = entry->needed + entry->extra;
+    account->waiters_requested += entry->needed;
+    account->extra_requested += entry->extra;
+    g_queue_push_tail(&account->open_requests, request);
 }
 
 /* Sends the entries from `first` on that go into one message. */
@@ -639,7 +663,7 @@
         if (strcmp(entry->lessor, head->lessor) != 0) {
             break;
         }
-        add_ask(entry, sequence, now_us);
+        add_open_request(entry, sequence, now_us);
         requests[count++] = (bv_quota_request_t){
             .account = entry->account->name,
             .needed = entry->needed,
@@ -664,16 +688,17 @@
     g_array_unref(entries);
 }
 
-static ask_t *
-remove_ask(account_t *account, uint64_t sequence)
+static open_request_t *
+remove_open_request(account_t *account, uint64_t sequence)
 {
-    for (GList *item = account->asks.head; item != NULL; item = item->next) {
-        ask_t *ask = item->data;
-        if (ask->sequence == sequence) {
-            g_queue_delete_link(&account->asks, item);
-            account->asked -= ask->needed;
-            account->extra_asked -= ask->extra;
-            return ask;
+    for (GList *item = account->open_requests.head; item != NULL;
+         item = item->next) {
+        open_request_t *request = item->data;
+        if (request->sequence == sequence) {
+            g_queue_delete_link(&account->open_requests, item);
+            account->waiters_requested -= request->needed;
+            account->extra_requested -= request->extra;
+            return request;
         }
     }
     return NULL;
@@ -681,17 +706,17 @@
 
 static void
 use_granted(const bv_quota_holder_t *holder, account_t *account,
-            const ask_t *ask, uint32_t granted)
+            const open_request_t *request, uint32_t granted)
 {
-    int64_t expires_us = ask->sent_us + BV_QUOTA_PERMIT_LIFETIME_US;
+    int64_t expires_us = request->sent_us + BV_QUOTA_PERMIT_LIFETIME_US;
     bv_quota_permit_t permit = {BV_QUOTA_FROM_LESSOR, expires_us};
     for (uint32_t i = 0; i < granted; i++) {
         if (account->waiters.length == 0) {
             add_lot(account, granted - i, expires_us);
             return;
         }
-        if (i >= ask->needed && account->asked > 0) {
-            reduce_asked(account);
+        if (i >= request->needed && account->waiters_requested > 0) {
+            reduce_requested(account);
         }
         admit_first(holder, account, &permit);
     }
@@ -712,17 +737,19 @@
 
 static void
 handle_granted(const bv_quota_holder_t *holder, account_t *account,
-               int64_t now_us, const ask_t *ask, const bv_quota_reply_t *reply)
+               int64_t now_us, const open_request_t *request,
+               const bv_quota_reply_t *reply)
 {
     account->is_silent = false;
     account->failed_us = 0;
-    uint32_t granted = MIN(reply->granted, ask->wanted);
-    if (granted < ask->wanted) {
+    uint32_t granted = MIN(reply->granted, request->wanted);
+    if (granted < request->wanted) {
         account->prefetch_due_us = now_us + USE_PERIOD_US;
     }
-    use_granted(holder, account, ask, granted);
-    if (granted < ask->needed) {
-        handle_refused(holder, account, now_us, ask->needed - granted, reply);
+    use_granted(holder, account, request, granted);
+    if (granted < request->needed) {
+        handle_refused(holder, account, now_us, request->needed - granted,
+                       reply);
     }
 }
 
@@ -731,36 +758,39 @@
                              uint64_t sequence, const bv_quota_reply_t *reply)
 {
     account_t *account = g_hash_table_lookup(holder->accounts, reply->account);
-    ask_t *ask = account != NULL ? remove_ask(account, sequence) : NULL;
-    if (ask == NULL) {
+    open_request_t *request =
+        account != NULL ? remove_open_request(account, sequence) : NULL;
+    if (request == NULL) {
         return false;
     }
-    bool is_late = now_us - ask->sent_us >= BV_QUOTA_PERMIT_LIFETIME_US;
+    bool is_late = now_us - request->sent_us >= BV_QUOTA_PERMIT_LIFETIME_US;
     if (reply->status == BV_QUOTA_GRANTED && !is_late) {
-        handle_granted(holder, account, now_us, ask, reply);
+        handle_granted(holder, account, now_us, request, reply);
     }
-    else if (!ask->has_timed_out) {
-        handle_failure(holder, account, now_us, ask->sent_us,
-                       MAX(ask->sent_us + ANSWER_TIMEOUT_US, now_us));
+    else if (!request->has_timed_out) {
+        handle_failure(holder, account, now_us, request->sent_us,
+                       MAX(request->sent_us + ANSWER_TIMEOUT_US, now_us));
     }
-    g_free(ask);
+    check_requested(account);
+    g_free(request);
     return true;
 }
 
 static void
-check_asks(bv_quota_holder_t *holder, account_t *account, int64_t now_us)
+check_open_requests(bv_quota_holder_t *holder, account_t *account,
+                    int64_t now_us)
 {
-    GList *item = account->asks.head;
+    GList *item = account->open_requests.head;
     while (item != NULL) {
-        ask_t *ask = item->data;
+        open_request_t *request = item->data;
         GList *next = item->next;
-        int64_t age_us = now_us - ask->sent_us;
-        if (age_us >= ANSWER_TIMEOUT_US && !ask->has_timed_out) {
-            ask->has_timed_out = true;
-            handle_failure(holder, account, now_us, ask->sent_us, now_us);
+        int64_t age_us = now_us - request->sent_us;
+        if (age_us >= ANSWER_TIMEOUT_US && !request->has_timed_out) {
+            request->has_timed_out = true;
+            handle_failure(holder, account, now_us, request->sent_us, now_us);
         }
         if (age_us >= BV_QUOTA_PERMIT_LIFETIME_US) {
-            g_free(remove_ask(account, ask->sequence));
+            g_free(remove_open_request(account, request->sequence));
         }
         item = next;
     }
@@ -777,8 +807,9 @@
 static bool
 is_idle(const account_t *account)
 {
-    return account->waiters.length == 0 && account->asks.length == 0 &&
-           account->lots->len == 0 && account->use_per_s < USE_IDLE;
+    return account->waiters.length == 0 &&
+           account->open_requests.length == 0 && account->lots->len == 0 &&
+           account->use_per_s < USE_IDLE;
 }
 
 void
@@ -795,7 +826,7 @@
     for (guint i = holder->active->len; i-- > 0;) {
         account_t *account = holder->active->pdata[i];
         drop_expired(account, now_us);
-        check_asks(holder, account, now_us);
+        check_open_requests(holder, account, now_us);
         if (is_use_due) {
             update_use(account);
         }
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -18,11 +18,10 @@
     char name[BV_NAME_BYTES];
     uint64_t hash;
     uint64_t incarnation;
-    /*
-     * Time from which the member may be chosen; for a dead one, time from
-     * which it is forgotten.
-     */
+    /* Time from which a present member may be chosen. */
     int64_t settled_us;
+    /* Time at which a member that is not present was seen as dead. */
+    int64_t died_us;
     bool is_settled;
     bool is_present;
     bool is_suspect;
@@ -34,7 +33,7 @@
     GArray *candidates;
     int64_t started_us;
     int64_t last_tick_us;
-    /* Least `settled_us` that has not been reached. */
+    /* Least time at which a candidate is to be chosen from or forgotten. */
     int64_t due_us;
     int64_t since_us;
     uint32_t most_seen;
@@ -50,6 +49,14 @@
     return XXH3_64bits(name, strlen(name));
 }
 
+/* Time from which a candidate may be chosen, or a dead one is forgotten. */
+static int64_t
+next_due_us(const candidate_t *candidate)
+{
+    return candidate->is_present ? candidate->settled_us
+                                 : candidate->died_us + FORGET_AFTER_US;
+}
+
 static candidate_t *
 candidate_at(const bv_quota_members_t *members, guint index)
 {
@@ -183,7 +190,8 @@
     unsettle(members, now_us + (has_left ? members->options.handover_us : 0),
              candidate);
     candidate->is_present = false;
-    candidate->settled_us = now_us + FORGET_AFTER_US;
+    candidate->died_us = now_us;
+    members->due_us = MIN(members->due_us, next_due_us(candidate));
     if (has_left) {
         remove_candidate(members, record->name);
     }
@@ -199,8 +207,7 @@
 static bool
 is_counted(const candidate_t *candidate, int64_t now_us)
 {
-    return candidate->is_present ||
-           now_us < candidate->settled_us - FORGET_AFTER_US + DOUBT_US;
+    return candidate->is_present || now_us < candidate->died_us + DOUBT_US;
 }
 
 /*
@@ -236,8 +243,8 @@
         if (candidate->is_settled) {
             continue;
         }
-        if (now_us < candidate->settled_us) {
-            members->due_us = MIN(members->due_us, candidate->settled_us);
+        if (now_us < next_due_us(candidate)) {
+            members->due_us = MIN(members->due_us, next_due_us(candidate));
         }
         else if (candidate->is_present) {
             candidate->is_settled = true;
