--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -6,9 +6,10 @@
 
 #define US_PER_S 1000000.0
 /*
- * Part of the allowed overage that a bucket may hold beyond the burst. Half of
- * the overage is for the floors of all nodes (see quota_holder), the rest for
- * permits that are lent before a window and used in it.
+ * Part of the allowed overage that a bucket may hold beyond the burst, and
+ * that may be lent in a window beyond its quota. Half of the overage is for
+ * the floors of all nodes (see quota_holder), and the last quarter for permits
+ * that are lent before a window and used in it.
  */
 #define OVERAGE_SHARE 0.25
 /* Part of a second whose arrivals a bucket holds at least. */
--- a/include/berylvane/core/quota.h
+++ b/include/berylvane/core/quota.h
@@ -64,7 +64,10 @@
     const char *account;
     bv_quota_status_t status;
     uint32_t granted;
-    /* Time until the bucket holds the next permit. */
+    /*
+     * Time until the next permit can be lent: the bucket holds it, and the
+     * window has room for it.
+     */
     int64_t wait_us;
     /* Time after which a refused caller should return. */
     int64_t retry_us;
