--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -18,6 +18,8 @@
     FAULT_LESSOR_RESTARTED,
     FAULT_LESSOR_FROZEN,
     FAULT_LESSOR_FROZEN_SHORTLY,
+    /* A node that has requested the whole burst is frozen for 0.4 s. */
+    FAULT_HOLDER_FROZEN,
     /* Half of the nodes, with the lessor, cannot reach the others. */
     FAULT_HALVES,
     FAULT_ONE_CUT_OFF,
@@ -78,6 +80,13 @@
      FAULT_LESSOR_FROZEN_SHORTLY,
      90,
      110},
+    {"burst above rate, holder frozen for 0.4 s",
+     30.0,
+     {20, 100},
+     8,
+     FAULT_HOLDER_FROZEN,
+     65,
+     110},
     {"halves", 6.0, {200, 50}, 8, FAULT_HALVES, 50, 104},
     {"halves of a small cluster", 6.0, {200, 50}, 4, FAULT_HALVES, 82, 104},
     {"halves of two nodes", 6.0, {200, 50}, 2, FAULT_HALVES, 80, 104},
@@ -157,6 +166,26 @@
     join_sides(cluster);
 }
 
+/*
+ * Three times, a node takes the whole burst and uses it 0.4 s late; the others
+ * use what is left. Nothing is used before, so that the bucket is full.
+ */
+static void
+freeze_holder(quota_cluster_t *cluster, double load)
+{
+    uint32_t holder = (quota_cluster_lessor(cluster) + 1) % cluster->count;
+    for (int i = 0; i < 3; i++) {
+        set_loads(cluster, 0);
+        quota_cluster_run(cluster, 6 * SECOND_US);
+        quota_cluster_set_load(cluster, holder, 50000);
+        quota_cluster_run(cluster, 2 * MS);
+        quota_cluster_freeze(cluster, holder, 400 * MS);
+        set_loads(cluster, load);
+        quota_cluster_set_load(cluster, holder, 0);
+        quota_cluster_run(cluster, 6 * SECOND_US);
+    }
+}
+
 static void
 play_fault(quota_cluster_t *cluster, const scenario_t *row)
 {
@@ -184,6 +213,9 @@
     case FAULT_LESSOR_FROZEN_SHORTLY:
         quota_cluster_freeze(cluster, lessor, 900 * MS);
         break;
+    case FAULT_HOLDER_FROZEN:
+        freeze_holder(cluster, row->load * row->limit.rate_per_s);
+        break;
     case FAULT_HALVES:
     case FAULT_LOWERED_IN_HALVES:
         run_divided(cluster, row, cluster->count / 2 - 1);
@@ -357,8 +389,8 @@
     /* The bucket has 26, and the window has room for 24. */
     {9900 * MS, 100, 24},
     {9950 * MS, 1, 0},
-    /* The first burst has left the window. */
-    {10300 * MS, 100, 8},
+    /* The first burst has left the window; the gain since 9.95 s is left. */
+    {10300 * MS, 100, 5},
 };
 
 /*
@@ -370,7 +402,7 @@
     bv_quota_lessor_t *lessor = bv_quota_lessor_create();
     bv_quota_limit_t limit = {10, 20};
     bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
-    bv_quota_lessor_set_bounds(lessor, &bounds);
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
     bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
     for (size_t i = 0; i < G_N_ELEMENTS(burst_steps); i++) {
         const burst_case_t *step = &burst_steps[i];
@@ -384,6 +416,51 @@
 }
 END_TEST
 
+/*
+ * Guards against a bucket that keeps counting by a window that is no longer
+ * configured: it starts again empty.
+ */
+START_TEST(test_window_changed)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
+    bv_quota_request_t request = {QUOTA_ACCOUNT, 1, 1};
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 5 * SECOND_US, 0, &request).granted, 1);
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 1);
+    bounds.window_us = SECOND_US;
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 0);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+/*
+ * Guards against callers that are told to stay away for 5 s long after an
+ * overload: what is refused counts only as far as it affects the delay.
+ */
+START_TEST(test_backlog)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_request_t overload = {QUOTA_ACCOUNT, 10000, 10000};
+    bv_quota_request_t later = {QUOTA_ACCOUNT, 21, 21};
+    bv_quota_lessor_set_limit(lessor, 0, QUOTA_ACCOUNT, &limit);
+    ck_assert_int_eq(bv_quota_lessor_lend(lessor, 0, 0, &overload).retry_us,
+                     BV_QUOTA_WAIT_LIMIT_US);
+    ck_assert_int_eq(
+        bv_quota_lessor_lend(lessor, 10 * SECOND_US, 0, &later).retry_us,
+        200 * MS);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
 static bool
 is_never(void *context, const char *account)
 {
@@ -662,6 +739,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a lost message that is taken for the repetition of one lost
+ * long before, whose call has left: the request is repeated before the floor
+ * applies.
+ */
+START_TEST(test_failure_forgotten)
+{
+    holder_calls_t calls = {0};
+    bv_quota_permit_t permit;
+    bv_quota_holder_t *holder = create_holder(&calls, 2);
+    charge(holder, SECOND_US, &permit);
+    bv_quota_holder_leave(holder, QUOTA_ACCOUNT, SECOND_US);
+    advance_holder(holder, SECOND_US + 260 * MS);
+    advance_holder(holder, SECOND_US + 600 * MS);
+    ck_assert_uint_eq(calls.asked, 1);
+    charge(holder, 60 * SECOND_US, &permit);
+    advance_holder(holder, 60 * SECOND_US + 260 * MS);
+    ck_assert_uint_eq(calls.asked, 3);
+    ck_assert_uint_eq(calls.admitted, 0);
+    bv_quota_holder_destroy(holder);
+}
+END_TEST
+
 typedef struct {
     /* Times after the request of the permit. */
     int64_t replied_us;
@@ -736,10 +836,13 @@
     const support_test_t tests[] = {
         {"lend", test_lend, 1},
         {"burst", test_burst, 1},
+        {"window_changed", test_window_changed, 1},
+        {"backlog", test_backlog, 1},
         {"forget", test_forget, 1},
         {"members", test_members, G_N_ELEMENTS(member_cases)},
         {"suspension", test_suspension, 1},
         {"silent_lessor", test_silent_lessor, G_N_ELEMENTS(floor_cases)},
+        {"failure_forgotten", test_failure_forgotten, 1},
         {"permit_expires", test_permit_expires, G_N_ELEMENTS(permit_cases)},
         {"leave", test_leave, 1},
         {"scenario", test_scenario, G_N_ELEMENTS(scenarios)},
