Close connections for lack of memory only where it helps

At the bound every idle connection of the process was closed, also when responses from the target, kept responses or queued messages filled the account, so that callers, readiness probes and control were cut off and nothing was freed. A holder of no more than a connection's own bytes is not closed any more, and at the bound none is while the bytes of all holders together could not bring the use below it; then only stalled holders are.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -16,8 +16,6 @@
  * unread input resets the connection, which may destroy the answer.
  */
 #define LINGER_US (2 * BV_US_PER_S)
-/* A connection without requests: its objects and buffers. */
-#define CONNECTION_BYTES 2048
 /*
  * How each response begins. A caller that ends its input may have closed its
  * connection, or its sending side only. These bytes, sent ahead of the
@@ -152,7 +150,7 @@
 static uint64_t
 held_bytes(const bv_connection_t *connection)
 {
-    return CONNECTION_BYTES +
+    return BV_BYTE_HOLDER_OWN_BYTES +
            bv_request_reader_held_bytes(connection->reader) +
            connection->unread->len + bv_pipeline_bytes(connection->pipeline) +
            connection->output.bytes;
--- a/core/byte_account.c
+++ b/core/byte_account.c
@@ -31,6 +31,8 @@
     bv_byte_account_options_t options;
     uint64_t used_bytes;
     uint64_t peak_bytes;
+    /* The part of the used bytes that holders hold. */
+    uint64_t holders_bytes;
     /* bv_byte_holder_t pointers. */
     GPtrArray *holders;
 };
@@ -100,6 +102,7 @@
 bv_byte_account_leave(bv_byte_account_t *account, bv_byte_holder_t *holder)
 {
     bv_byte_account_release(account, holder->bytes);
+    account->holders_bytes -= holder->bytes;
     g_ptr_array_remove_index_fast(account->holders, holder->index);
     if (holder->index < account->holders->len) {
         bv_byte_holder_t *moved = account->holders->pdata[holder->index];
@@ -118,6 +121,7 @@
     else {
         bv_byte_account_release(account, holder->bytes - bytes);
     }
+    account->holders_bytes += bytes - holder->bytes;
     holder->bytes = bytes;
     if (is_waiting && !holder->is_waiting) {
         holder->waiting_since_us = now_us;
@@ -237,6 +241,17 @@
     return (double)holder->bytes / (double)(current_rate(holder) + LEAST_RATE);
 }
 
+/*
+ * Whether closing connections can bring the use below the bound. If caches and
+ * queues alone fill the account, closing every caller would not.
+ */
+static bool
+can_closing_relieve(const bv_byte_account_t *account)
+{
+    return account->used_bytes - account->holders_bytes <
+           account->options.bound_bytes;
+}
+
 bv_byte_holder_t *
 bv_byte_account_victim(bv_byte_account_t *account, int64_t now_us)
 {
@@ -245,12 +260,13 @@
     if (level == BV_BYTES_NORMAL) {
         return NULL;
     }
+    bool closes_any = level == BV_BYTES_FULL && can_closing_relieve(account);
     for (guint i = 0; i < account->holders->len; i++) {
         bv_byte_holder_t *holder = account->holders->pdata[i];
         renew_period(holder, now_us);
-        bool may_close =
-            holder->is_waiting &&
-            (level == BV_BYTES_FULL || is_stalled(account, holder, now_us));
+        bool may_close = holder->is_waiting &&
+                         holder->bytes > BV_BYTE_HOLDER_OWN_BYTES &&
+                         (closes_any || is_stalled(account, holder, now_us));
         if (may_close &&
             (victim == NULL || seconds_left(holder) > seconds_left(victim))) {
             victim = holder;
--- a/include/berylvane/core/byte_account.h
+++ b/include/berylvane/core/byte_account.h
@@ -19,7 +19,8 @@
  * - reading of what was not reserved pauses (BV_BYTES_PAUSING),
  * - large items are not admitted (BV_BYTES_REJECTING),
  * - holders that the process waits for are closed: at first those that make
- *   no progress, above the bound those that hold most for their rate.
+ *   no progress, above the bound those that hold most for their rate, as long
+ *   as all holders together exceed what is to be freed.
  * Items up to the small size are admitted up to the bound, so that ordinary
  * requests have a reserve. With the bound 0 nothing is limited.
  *
@@ -27,6 +28,12 @@
  */
 typedef struct bv_byte_account bv_byte_account_t;
 
+/*
+ * What a connection without requests holds: its objects and buffers. Closing
+ * a holder of no more frees too little to be worth it.
+ */
+#define BV_BYTE_HOLDER_OWN_BYTES 2048
+
 typedef enum {
     BV_BYTES_NORMAL,
     BV_BYTES_PAUSING,
--- a/tests/test_byte_account.c
+++ b/tests/test_byte_account.c
@@ -85,30 +85,43 @@
     int seconds;
     /* The holder that is to be closed first; -1 for none. */
     int victim;
+    /* Charged without a holder. */
+    uint64_t charged_bytes;
 } victim_case_t;
 
 static const victim_case_t victim_cases[] = {
     /* Enough memory: the slowest is left alone. */
-    {{{40 * MB, 0, false}}, 100, -1},
+    {{{40 * MB, 0, false}}, 100, -1, 0},
     /* Pausing: who makes no progress for 5 s is closed. */
-    {{{60 * MB, 0, false}}, 4, -1},
-    {{{60 * MB, 0, false}}, 6, 0},
+    {{{60 * MB, 0, false}}, 4, -1, 0},
+    {{{60 * MB, 0, false}}, 6, 0, 0},
     /* Rejecting: for 2 s. */
-    {{{80 * MB, 0, false}}, 1, -1},
-    {{{80 * MB, 0, false}}, 3, 0},
+    {{{80 * MB, 0, false}}, 1, -1, 0},
+    {{{80 * MB, 0, false}}, 3, 0, 0},
     /* An honest slow reader is served, also if it takes long. */
-    {{{80 * MB, 640 * 1024, false}}, 100, -1},
-    {{{73 * MB, 640 * 1024, false}, {7 * MB, 0, false}}, 3, 1},
+    {{{80 * MB, 640 * 1024, false}}, 100, -1, 0},
+    {{{73 * MB, 640 * 1024, false}, {7 * MB, 0, false}}, 3, 1, 0},
     /* A trickle is no progress. */
-    {{{80 * MB, 100, false}}, 10, 0},
+    {{{80 * MB, 100, false}}, 10, 0, 0},
     /* Who waits for the process is not closed. */
-    {{{80 * MB, 0, true}}, 100, -1},
-    {{{120 * MB, 0, true}, {MB, 0, false}}, 1, 1},
+    {{{80 * MB, 0, true}}, 100, -1, 0},
+    {{{120 * MB, 0, true}, {MB, 0, false}}, 1, 1, 0},
     /* Above the bound: who holds most for its rate. */
-    {{{60 * MB, 1 * MB, false}, {60 * MB, 9 * MB, false}}, 3, 0},
-    {{{90 * MB, 9 * MB, false}, {20 * MB, 64 * 1024, false}}, 3, 1},
+    {{{60 * MB, 1 * MB, false}, {60 * MB, 9 * MB, false}}, 3, 0, 0},
+    {{{90 * MB, 9 * MB, false}, {20 * MB, 64 * 1024, false}}, 3, 1, 0},
     /* Small holders without progress are not worth closing. */
-    {{{80 * MB, MB, false}, {SMALL_BYTES, 0, false}}, 100, -1},
+    {{{80 * MB, MB, false}, {SMALL_BYTES, 0, false}}, 100, -1, 0},
+    /* Closing idle connections does not empty caches and queues. */
+    {{{2048, 0, false}, {2048, 0, false}, {2048, 0, false}}, 3, -1, 101 * MB},
+    {{{2048, 0, false}, {2048, 0, false}, {2048, 0, false}},
+     3,
+     -1,
+     100 * MB - 4096},
+    {{{30000, 0, false}, {2048, 0, false}}, 3, -1, 101 * MB},
+    /* It does bring the use below the bound. */
+    {{{2 * MB, 0, false}, {2048, 0, false}}, 0, 0, 99 * MB},
+    /* Stalled holders of much are closed also if that is not enough. */
+    {{{2 * MB, 0, false}, {2048, 0, false}}, 3, 0, 101 * MB},
 };
 
 START_TEST(test_victims)
@@ -117,6 +130,7 @@
     bv_byte_account_t *account = create_account(BOUND_BYTES);
     bv_byte_holder_t holders[HOLDERS_MAX];
     int64_t now_us = BV_US_PER_S;
+    bv_byte_account_charge(account, row->charged_bytes);
     for (int i = 0; i < HOLDERS_MAX; i++) {
         bv_byte_account_join(account, &holders[i], &holders[i], now_us);
         bv_byte_account_set(account, &holders[i], now_us,
@@ -137,6 +151,7 @@
     for (int i = 0; i < HOLDERS_MAX; i++) {
         bv_byte_account_leave(account, &holders[i]);
     }
+    bv_byte_account_release(account, row->charged_bytes);
     ck_assert_uint_eq(bv_byte_account_used(account), 0);
     bv_byte_account_destroy(account);
 }
