Count as idle who sends slowly; keep uploads that the node holds up

Any byte counted as activity, so that senders of a byte now and then kept a listener at its limit of connections and no other caller was accepted. A connection that waits for its caller now counts as idle unless it moves bytes at the least rate of the byte account or completes requests, also without a bound on memory.

While memory is short the node stops reading uploads without a known length, and then closed them for their lack of progress. The time in which it does not read what the caller has sent does not count any more; at the bound such connections are closed like others.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -30,6 +31,8 @@
     int64_t now_us;
     /* Time of the last byte in either direction. */
     int64_t active_us;
+    /* Time of the last complete request, or of the start. */
+    int64_t request_us;
     int64_t linger_until_us;
     bv_request_reader_t *reader;
     bv_pipeline_t *pipeline;
@@ -92,14 +95,13 @@
     connection->options = options;
     connection->fd = fd;
     connection->active_us = now_us;
+    connection->request_us = now_us;
     connection->reader = bv_request_reader_create(&reader, now_us);
     connection->pipeline = bv_pipeline_create();
     connection->unread = g_byte_array_new();
     bv_output_init(&connection->output);
-    if (options->account != NULL) {
-        bv_byte_account_join(options->account, &connection->holder, connection,
-                             now_us);
-    }
+    bv_byte_account_join(options->account, &connection->holder, connection,
+                         now_us);
     watch(connection, EPOLL_CTL_ADD, EPOLLIN | EPOLLRDHUP);
     return connection;
 }
@@ -128,10 +130,7 @@
     bv_exchange_t *exchange;
     bool is_running;
     report_disconnects(connection);
-    if (connection->options->account != NULL) {
-        bv_byte_account_leave(connection->options->account,
-                              &connection->holder);
-    }
+    bv_byte_account_leave(connection->options->account, &connection->holder);
     while ((exchange = bv_pipeline_remove_first(connection->pipeline,
                                                 &is_running)) != NULL) {
         exchange->connection = NULL;
@@ -167,11 +166,9 @@
 static void
 update_account(bv_connection_t *connection)
 {
-    if (connection->options->account != NULL) {
-        bv_byte_account_set(connection->options->account, &connection->holder,
-                            connection->now_us, held_bytes(connection),
-                            waits_for_caller(connection));
-    }
+    bv_byte_account_set(connection->options->account, &connection->holder,
+                        connection->now_us, held_bytes(connection),
+                        waits_for_caller(connection));
 }
 
 static void
@@ -220,6 +217,7 @@
     bv_pipeline_t *pipeline = connection->pipeline;
     bv_exchange_t *exchange = received->exchange;
     connection->has_received_request = true;
+    connection->request_us = connection->now_us;
     bv_pipeline_add(pipeline, exchange, received->request_bytes);
     if (received->is_refused) {
         bv_pipeline_answer(pipeline, exchange, true, 0);
@@ -414,6 +412,25 @@
     return true;
 }
 
+/*
+ * Whether the caller has sent what is not read for lack of memory. A caller
+ * that has a response to read is not held up by that.
+ */
+static bool
+is_paused(const bv_connection_t *connection)
+{
+    int size = 0;
+    return bv_output_is_empty(&connection->output) && !may_read(connection) &&
+           ioctl(connection->fd, FIONREAD, &size) == 0 && size > 0;
+}
+
+static void
+update_pause(bv_connection_t *connection)
+{
+    bv_byte_account_set_paused(&connection->holder, connection->now_us,
+                               is_paused(connection));
+}
+
 static bool
 is_reading(const bv_connection_t *connection)
 {
@@ -461,6 +478,7 @@
     }
     bool stays_open = end_if_done(connection);
     update_account(connection);
+    update_pause(connection);
     update_watch(connection);
     return stays_open;
 }
@@ -528,8 +546,10 @@
 }
 
 void
-bv_connection_resume(bv_connection_t *connection)
+bv_connection_resume(bv_connection_t *connection, int64_t now_us)
 {
+    connection->now_us = now_us;
+    update_pause(connection);
     update_watch(connection);
 }
 
@@ -540,9 +560,14 @@
 }
 
 int64_t
-bv_connection_idle_since_us(const bv_connection_t *connection)
+bv_connection_idle_since_us(bv_connection_t *connection, int64_t now_us)
 {
-    return waits_for_caller(connection) ? connection->active_us : INT64_MAX;
+    if (!waits_for_caller(connection)) {
+        return INT64_MAX;
+    }
+    int64_t stalled_since_us =
+        bv_byte_account_stalled_since_us(&connection->holder, now_us);
+    return MAX(connection->request_us, stalled_since_us);
 }
 
 bool
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -51,16 +51,18 @@
                          const bv_exchange_t *exchange);
 
 /* Reads again if reading had paused and memory is free again. */
-void bv_connection_resume(bv_connection_t *connection);
+void bv_connection_resume(bv_connection_t *connection, int64_t now_us);
 
 /* The listener of the connection with this holder of the account. */
 bv_listener_t *bv_connection_listener(const bv_connection_t *connection);
 
 /*
- * Time of the last byte of a connection that may be closed for a new one,
- * since no call is open; INT64_MAX for others.
+ * Time since which a connection that may be closed for a new one, since no
+ * call is open, neither moves bytes at the least rate of the byte account nor
+ * completes requests; INT64_MAX for others.
  */
-int64_t bv_connection_idle_since_us(const bv_connection_t *connection);
+int64_t bv_connection_idle_since_us(bv_connection_t *connection,
+                                    int64_t now_us);
 
 /* Whether no request was received so far. */
 bool bv_connection_is_new(const bv_connection_t *connection);
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -318,7 +318,8 @@
     GArray *idle = g_array_new(FALSE, FALSE, sizeof(idle_connection_t));
     g_hash_table_iter_init(&iterator, listener->connections);
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        idle_connection_t item = {key, bv_connection_idle_since_us(key)};
+        idle_connection_t item = {key,
+                                  bv_connection_idle_since_us(key, now_us)};
         int64_t least_us =
             bv_connection_is_new(key) ? IDLE_NEW_US : IDLE_KEPT_US;
         if (item.idle_since_us <= now_us - least_us) {
@@ -356,13 +357,13 @@
 }
 
 static void
-resume_all(const bv_listener_t *listener)
+resume_all(const bv_listener_t *listener, int64_t now_us)
 {
     GHashTableIter iterator;
     gpointer key;
     g_hash_table_iter_init(&iterator, listener->connections);
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        bv_connection_resume(key);
+        bv_connection_resume(key, now_us);
     }
 }
 
@@ -377,7 +378,7 @@
         close_idle(listener, now_us);
     }
     if (listener->options.account != NULL) {
-        resume_all(listener);
+        resume_all(listener, now_us);
     }
     if (listener->socket_fd >= 0 && !listener->is_accepting) {
         watch_socket(listener, EPOLL_CTL_MOD, EPOLLIN);
--- a/core/byte_account.c
+++ b/core/byte_account.c
@@ -21,6 +21,8 @@
 #define PAUSING_PERCENT 50
 #define REJECTING_PERCENT 75
 #define PERIOD_US BV_US_PER_S
+/* A period that has just begun is judged as if it had lasted this long. */
+#define LEAST_ELAPSED_US (BV_US_PER_S / 20)
 /* A holder below this rate, in bytes per second, makes no progress. */
 #define LEAST_RATE 16384
 /* Time without progress until a holder may be closed, by level. */
@@ -93,14 +95,19 @@
         .owner = owner,
         .period_us = now_us,
         .progress_us = now_us,
-        .index = account->holders->len,
     };
-    g_ptr_array_add(account->holders, holder);
+    if (account != NULL) {
+        holder->index = account->holders->len;
+        g_ptr_array_add(account->holders, holder);
+    }
 }
 
 void
 bv_byte_account_leave(bv_byte_account_t *account, bv_byte_holder_t *holder)
 {
+    if (account == NULL) {
+        return;
+    }
     bv_byte_account_release(account, holder->bytes);
     account->holders_bytes -= holder->bytes;
     g_ptr_array_remove_index_fast(account->holders, holder->index);
@@ -111,9 +118,8 @@
     holder->bytes = 0;
 }
 
-void
-bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
-                    int64_t now_us, uint64_t bytes, bool is_waiting)
+static void
+set_bytes(bv_byte_account_t *account, bv_byte_holder_t *holder, uint64_t bytes)
 {
     if (bytes > holder->bytes) {
         bv_byte_account_charge(account, bytes - holder->bytes);
@@ -123,6 +129,15 @@
     }
     account->holders_bytes += bytes - holder->bytes;
     holder->bytes = bytes;
+}
+
+void
+bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
+                    int64_t now_us, uint64_t bytes, bool is_waiting)
+{
+    if (account != NULL) {
+        set_bytes(account, holder, bytes);
+    }
     if (is_waiting && !holder->is_waiting) {
         holder->waiting_since_us = now_us;
     }
@@ -153,6 +168,28 @@
     holder->moved_bytes += bytes;
 }
 
+void
+bv_byte_account_set_paused(bv_byte_holder_t *holder, int64_t now_us,
+                           bool is_paused)
+{
+    if (holder->is_paused && !is_paused) {
+        holder->waiting_since_us = now_us;
+    }
+    holder->is_paused = is_paused;
+}
+
+int64_t
+bv_byte_account_stalled_since_us(bv_byte_holder_t *holder, int64_t now_us)
+{
+    renew_period(holder, now_us);
+    int64_t elapsed_us = now_us - holder->period_us;
+    uint64_t least_bytes = (uint64_t)MAX(elapsed_us, LEAST_ELAPSED_US) *
+                           LEAST_RATE / (uint64_t)BV_US_PER_S;
+    bool progresses = holder->moved_bytes >= least_bytes;
+    return progresses ? now_us
+                      : MAX(holder->waiting_since_us, holder->progress_us);
+}
+
 /* Bytes of the running period, or of a second of the one before. */
 static uint64_t
 current_rate(const bv_byte_holder_t *holder)
@@ -230,7 +267,7 @@
                               : PATIENCE_REJECTING_US;
     int64_t since_us = MAX(holder->waiting_since_us, holder->progress_us);
     return holder->bytes > account->options.small_bytes &&
-           current_rate(holder) < LEAST_RATE &&
+           !holder->is_paused && current_rate(holder) < LEAST_RATE &&
            now_us - since_us >= patience_us;
 }
 
--- a/include/berylvane/core/byte_account.h
+++ b/include/berylvane/core/byte_account.h
@@ -58,6 +58,11 @@
      * only then is a lack of progress its fault.
      */
     bool is_waiting;
+    /*
+     * The process does not read what the peer has sent. The time until it
+     * reads again does not count as a lack of progress.
+     */
+    bool is_paused;
     /* Position in the account's list. */
     uint32_t index;
     int64_t waiting_since_us;
@@ -84,7 +89,10 @@
 void bv_byte_account_set_bound(bv_byte_account_t *account,
                                uint64_t bound_bytes);
 
-/* Adds a holder, which must leave before it is freed. */
+/*
+ * Adds a holder, which must leave before it is freed. With the account NULL,
+ * here and below, only the holder's progress is recorded.
+ */
 void bv_byte_account_join(bv_byte_account_t *account, bv_byte_holder_t *holder,
                           void *owner, int64_t now_us);
 
@@ -96,6 +104,17 @@
 void bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
                          int64_t now_us, uint64_t bytes, bool is_waiting);
 
+/* Sets whether the process has stopped reading what the peer has sent. */
+void bv_byte_account_set_paused(bv_byte_holder_t *holder, int64_t now_us,
+                                bool is_paused);
+
+/*
+ * Returns the time since which a holder's peer keeps the process waiting
+ * without progress at the least rate; `now_us` if it progresses.
+ */
+int64_t bv_byte_account_stalled_since_us(bv_byte_holder_t *holder,
+                                         int64_t now_us);
+
 /* Records bytes that a holder's peer has sent or read. */
 void bv_byte_account_move(bv_byte_holder_t *holder, int64_t now_us,
                           uint64_t bytes);
--- a/tests/test_byte_account.c
+++ b/tests/test_byte_account.c
@@ -176,6 +176,68 @@
 }
 END_TEST
 
+/*
+ * Guards against uploads that are cut off since the process itself did not
+ * read them. At the bound they may be closed like others.
+ */
+START_TEST(test_paused)
+{
+    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_byte_holder_t holder;
+    int64_t now_us = BV_US_PER_S;
+    bv_byte_account_join(account, &holder, &holder, now_us);
+    bv_byte_account_set(account, &holder, now_us, 60 * MB, true);
+    bv_byte_account_set_paused(&holder, now_us, true);
+    now_us += 100 * BV_US_PER_S;
+    ck_assert_ptr_null(bv_byte_account_victim(account, now_us));
+    bv_byte_account_charge(account, 50 * MB);
+    ck_assert_ptr_eq(bv_byte_account_victim(account, now_us), &holder);
+    bv_byte_account_release(account, 50 * MB);
+    /* Its time starts when it is read again. */
+    bv_byte_account_set_paused(&holder, now_us, false);
+    now_us += 4 * BV_US_PER_S;
+    ck_assert_ptr_null(bv_byte_account_victim(account, now_us));
+    now_us += 2 * BV_US_PER_S;
+    ck_assert_ptr_eq(bv_byte_account_victim(account, now_us), &holder);
+    bv_byte_account_leave(account, &holder);
+    bv_byte_account_destroy(account);
+}
+END_TEST
+
+typedef struct {
+    /* Bytes that move in each of ten steps of the interval. */
+    uint64_t bytes;
+    int64_t interval_us;
+    bool progresses;
+} progress_case_t;
+
+static const progress_case_t progress_cases[] = {
+    {0, BV_US_PER_S / 10, false},
+    /* One byte now and then, which kept descriptors in use. */
+    {1, BV_US_PER_S / 2, false},
+    {200, BV_US_PER_S / 10, false},
+    {65536, BV_US_PER_S / 10, true},
+    {65536, BV_US_PER_S, true},
+    {800, BV_US_PER_S / 2, false},
+};
+
+START_TEST(test_progress)
+{
+    const progress_case_t *row = &progress_cases[_i];
+    bv_byte_holder_t holder;
+    int64_t now_us = BV_US_PER_S;
+    bv_byte_account_join(NULL, &holder, &holder, now_us);
+    bv_byte_account_set(NULL, &holder, now_us, 0, true);
+    for (int i = 0; i < 10; i++) {
+        now_us += row->interval_us;
+        bv_byte_account_move(&holder, now_us, row->bytes);
+    }
+    int64_t since_us = bv_byte_account_stalled_since_us(&holder, now_us);
+    ck_assert_int_eq(since_us, row->progresses ? now_us : BV_US_PER_S);
+    bv_byte_account_leave(NULL, &holder);
+}
+END_TEST
+
 typedef struct {
     uint64_t memory_mb;
     uint64_t bound_mb;
@@ -228,6 +290,8 @@
         {"levels", test_levels, G_N_ELEMENTS(level_cases)},
         {"victims", test_victims, G_N_ELEMENTS(victim_cases)},
         {"stalled_after_burst", test_stalled_after_burst, 1},
+        {"paused", test_paused, 1},
+        {"progress", test_progress, G_N_ELEMENTS(progress_cases)},
         {"bounds", test_bounds, G_N_ELEMENTS(bound_cases)},
         {"descriptors", test_descriptors, G_N_ELEMENTS(share_cases)},
         {NULL}};
--- a/tests/test_read_ahead.c
+++ b/tests/test_read_ahead.c
@@ -81,11 +81,12 @@
 }
 
 static void
-start(fixture_t *fixture)
+start_limited(fixture_t *fixture, uint32_t connections_limit)
 {
     bv_listener_options_t options = {
         .address = "127.0.0.1",
         .role = BV_LISTENER_OUTSIDE,
+        .connections_limit = connections_limit,
         .limits = {.read_ahead_requests = READ_AHEAD_REQUESTS,
                    .read_ahead_bytes = READ_AHEAD_BYTES},
         .on_call = on_call,
@@ -103,6 +104,12 @@
     fixture->port = options.port;
 }
 
+static void
+start(fixture_t *fixture)
+{
+    start_limited(fixture, 0);
+}
+
 static void
 answer(fixture_t *fixture, char letter, uint16_t status, size_t size,
        bool closes)
@@ -544,6 +551,48 @@
 }
 END_TEST
 
+#define SLOW_SENDERS 4
+#define SLOW_INTERVAL_US 50000
+
+/*
+ * Guards against senders of a byte now and then that keep all connections of a
+ * listener: each byte counted as activity, so that none of them was closed and
+ * no other caller was accepted.
+ */
+START_TEST(test_slow_senders)
+{
+    fixture_t fixture;
+    int slow_fds[SLOW_SENDERS];
+    start_limited(&fixture, SLOW_SENDERS);
+    char *requests = write_requests("a");
+    for (int i = 0; i < SLOW_SENDERS; i++) {
+        slow_fds[i] = raw_connect(fixture.port);
+        ck_assert_int_ge(slow_fds[i], 0);
+        raw_send(slow_fds[i], requests, 5, FALSE);
+    }
+    int fd = raw_connect(fixture.port);
+    raw_send(fd, requests, strlen(requests), FALSE);
+    int64_t end_us = bv_clock_now_us() + WAIT_US;
+    passed_t *passed = NULL;
+    while (passed == NULL && bv_clock_now_us() < end_us) {
+        for (int i = 0; i < SLOW_SENDERS; i++) {
+            (void)send(slow_fds[i], "a", 1, MSG_NOSIGNAL);
+        }
+        passed = bv_ring_wait(fixture.passed, SLOW_INTERVAL_US);
+    }
+    ck_assert_msg(passed != NULL, "no call is passed on");
+    ck_assert_str_eq(passed->call->path, "/a");
+    bv_call_drop(passed->call);
+    g_free(passed);
+    for (int i = 0; i < SLOW_SENDERS; i++) {
+        close(slow_fds[i]);
+    }
+    close(fd);
+    stop(&fixture);
+    g_free(requests);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -555,6 +604,7 @@
         {"half_closed_leaves", test_half_closed_leaves, 1},
         {"body_never_comes", test_body_never_comes, 1},
         {"endless_sender", test_endless_sender, 1},
+        {"slow_senders", test_slow_senders, 1},
         {NULL}};
     pool = bv_program_start();
     return support_run("read_ahead", tests);
