Don't send cancelled work again; report the wait of refused work

When a connection to the target was lost and the attempt was cancelled before the queued result was handled, the request was sent to the target again. The cancellation is now remembered and such work is not retried.

Work that was refused after it had waited in the queue was reported with a time of 0, so that the caller's router took the wait for latency of the network. The time since its arrival is reported.

The report has no test of its own.

--- a/core/local_retry.c
+++ b/core/local_retry.c
@@ -7,7 +7,7 @@
            retry->reason == BV_REASON_CONNECTION_LOST &&
            retry->is_idempotent && !retry->is_retry &&
            retry->is_target_usable && retry->is_permitted &&
-           retry->now_us < retry->deadline_us;
+           !retry->is_cancelled && retry->now_us < retry->deadline_us;
 }
 
 bv_local_retry_verdict_t
--- a/include/berylvane/core/local_retry.h
+++ b/include/berylvane/core/local_retry.h
@@ -31,6 +31,8 @@
     bool is_target_usable;
     /* The mode of the route permits retries. */
     bool is_permitted;
+    /* The caller's node has cancelled the attempt. */
+    bool is_cancelled;
 } bv_local_retry_t;
 
 typedef enum {
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -85,6 +85,8 @@
     bool admitted;
     /* The work was sent to the target again. */
     bool is_local_retry;
+    /* Cancelled after its start; its result may already wait to be handled. */
+    bool is_cancelled;
     /* Hash of the route's name; 0 when the route is not known here. */
     uint32_t route_hash;
     bv_mode_t mode;
--- a/node/serve.c
+++ b/node/serve.c
@@ -73,11 +73,14 @@
 
 /*
  * Answers a dispatch as not run. `served_state` is BV_SERVED_QUEUED if the
- * target drains and not the node, see bv_members_mark_draining().
+ * target drains and not the node, see bv_members_mark_draining(). `waited_us`
+ * is the time in the queue; without it the caller would take it for latency of
+ * the network.
  */
 static void
 refuse_dispatch(bv_node_t *node, const bv_peer_message_t *dispatch,
-                bv_reason_t reason, bv_served_state_t served_state)
+                bv_reason_t reason, bv_served_state_t served_state,
+                int64_t waited_us)
 {
     bv_decision_t decision = {
         .kind = BV_DECISION_REFUSED,
@@ -95,7 +98,7 @@
     answer->credit = dispatch->credit;
     answer->served_state = served_state;
     bv_node_count_reason(reason);
-    bv_node_placement_add_report(node, dispatch, 0, 0, answer);
+    bv_node_placement_add_report(node, dispatch, 0, waited_us, answer);
     bv_peers_answer(node, dispatch, answer);
 }
 
@@ -155,7 +158,8 @@
     count_refusal(dispatch, reason);
     refuse_dispatch(node, dispatch, reason,
                     reason == BV_REASON_DRAINING ? BV_SERVED_QUEUED
-                                                 : BV_SERVED_UNSEEN);
+                                                 : BV_SERVED_UNSEEN,
+                    node->now_us - served->arrived_us);
     bv_serve_remove(node, served);
 }
 
@@ -402,7 +406,7 @@
         return;
     }
     if (reason != BV_REASON_NONE) {
-        refuse_dispatch(node, message, reason, BV_SERVED_UNSEEN);
+        refuse_dispatch(node, message, reason, BV_SERVED_UNSEEN, 0);
         bv_peer_message_destroy(message);
         return;
     }
@@ -475,6 +479,7 @@
         .is_target_usable =
             bv_target_is_usable(node) && node->drain.phase != BV_DRAIN_DONE,
         .is_permitted = served->mode == BV_MODE_ENFORCE,
+        .is_cancelled = served->is_cancelled,
     };
     bv_local_retry_verdict_t verdict =
         bv_local_retry_try_charge(&retry, node->retry_budgets, node->credits);
--- a/node/serve_control.c
+++ b/node/serve_control.c
@@ -118,6 +118,7 @@
     }
     bv_counter_add(BV_COUNT_CANCELLED, 1);
     if (served->started) {
+        served->is_cancelled = true;
         bv_target_client_cancel(node->target_client, served->id);
         return;
     }
--- a/tests/test_local_retry.c
+++ b/tests/test_local_retry.c
@@ -22,6 +22,7 @@
     uint32_t budget;
     uint32_t credits;
     bv_local_retry_verdict_t verdict;
+    bool is_cancelled;
 } retry_case_t;
 
 #define UNKNOWN BV_OUTCOME_UNKNOWN
@@ -30,31 +31,33 @@
 
 static const retry_case_t retry_cases[] = {
     {"lost", UNKNOWN, LOST, LATER_US, true, false, true, true, 1, 1,
-     BV_LOCAL_RETRY_SEND},
+     BV_LOCAL_RETRY_SEND, false},
     {"not idempotent", UNKNOWN, LOST, LATER_US, false, false, true, true, 1, 1,
-     NONE},
+     NONE, false},
     {"second retry", UNKNOWN, LOST, LATER_US, true, true, true, true, 1, 1,
-     NONE},
+     NONE, false},
     {"target drains", UNKNOWN, LOST, LATER_US, true, false, false, true, 1, 1,
-     NONE},
+     NONE, false},
     {"mode without retries", UNKNOWN, LOST, LATER_US, true, false, true, false,
-     1, 1, NONE},
+     1, 1, NONE, false},
     {"at the deadline", UNKNOWN, LOST, NOW_US, true, false, true, true, 1, 1,
-     NONE},
+     NONE, false},
     {"broken answer", UNKNOWN, BV_REASON_BROKEN_ANSWER, LATER_US, true, false,
-     true, true, 1, 1, NONE},
+     true, true, 1, 1, NONE, false},
     {"time-out", UNKNOWN, BV_REASON_TIMEOUT, LATER_US, true, false, true, true,
-     1, 1, NONE},
+     1, 1, NONE, false},
     {"cancelled", UNKNOWN, BV_REASON_CANCELLED, LATER_US, true, false, true,
-     true, 1, 1, NONE},
+     true, 1, 1, NONE, false},
     {"connect", BV_OUTCOME_NOT_RUN, BV_REASON_CONNECT, LATER_US, true, false,
-     true, true, 1, 1, NONE},
+     true, true, 1, 1, NONE, false},
     {"answered", BV_OUTCOME_RAN, BV_REASON_NONE, LATER_US, true, false, true,
-     true, 1, 1, NONE},
+     true, 1, 1, NONE, false},
     {"no budget", UNKNOWN, LOST, LATER_US, true, false, true, true, 0, 1,
-     BV_LOCAL_RETRY_NO_BUDGET},
+     BV_LOCAL_RETRY_NO_BUDGET, false},
     {"no credit", UNKNOWN, LOST, LATER_US, true, false, true, true, 1, 0,
-     BV_LOCAL_RETRY_NO_CREDIT},
+     BV_LOCAL_RETRY_NO_CREDIT, false},
+    {"lost and cancelled", UNKNOWN, LOST, LATER_US, true, false, true, true, 1,
+     1, NONE, true},
 };
 
 static bv_local_retry_t
@@ -71,6 +74,7 @@
         .is_retry = row->is_retry,
         .is_target_usable = row->is_target_usable,
         .is_permitted = row->is_permitted,
+        .is_cancelled = row->is_cancelled,
     };
 }
 
