Cancel a call that waits for memory when its caller leaves

Such a call kept its place in the queue and was sent on later, or refused after three quarters of its time, though nobody waited for it. It is now answered as not run (cancelled) and counted in callers_gone.

bv_memory_delays() is renamed to bv_memory_reserve_or_wait(), with the inverse result, since it reserves or queues. What has_turn does is stated.

The cancelled wait has no test of its own.

--- a/include/berylvane/node/memory.h
+++ b/include/berylvane/node/memory.h
@@ -26,9 +26,16 @@
 
 /*
  * Reserves memory for the response of a call that is about to start. Returns
- * true if there is none: the call is then started later, or refused.
+ * false if there is none: the call then waits, and is started or refused
+ * later.
  */
-bool bv_memory_delays(bv_node_t *node, bv_call_state_t *state);
+bool bv_memory_reserve_or_wait(bv_node_t *node, bv_call_state_t *state);
+
+bool bv_memory_is_waiting(const bv_call_state_t *state);
+
+/* Refuses a waiting call. */
+void bv_memory_end_wait(bv_node_t *node, bv_call_state_t *state,
+                        bv_reason_t reason);
 
 /* Releases the reservation of a call that is answered with `reply`. */
 void bv_memory_call_ended(bv_node_t *node, bv_call_state_t *state,
--- a/node/calls.c
+++ b/node/calls.c
@@ -331,7 +331,7 @@
         return;
     }
     if (!needs_key) {
-        if (!bv_memory_delays(node, state)) {
+        if (bv_memory_reserve_or_wait(node, state)) {
             bv_quotas_begin(node, state);
         }
         return;
@@ -372,6 +372,10 @@
         bv_counter_add(BV_COUNT_CALLERS_GONE, 1);
         bv_quotas_end_wait(node, state, BV_REASON_CANCELLED);
     }
+    else if (state->key == NULL && bv_memory_is_waiting(state)) {
+        bv_counter_add(BV_COUNT_CALLERS_GONE, 1);
+        bv_memory_end_wait(node, state, BV_REASON_CANCELLED);
+    }
     g_free(data);
 }
 
--- a/node/memory.c
+++ b/node/memory.c
@@ -141,18 +141,18 @@
 }
 
 bool
-bv_memory_delays(bv_node_t *node, bv_call_state_t *state)
+bv_memory_reserve_or_wait(bv_node_t *node, bv_call_state_t *state)
 {
     bv_memory_t *memory = node->memory;
     if (node->settings->memory_limit_mb == 0) {
-        return false;
+        return true;
     }
     uint64_t bytes = expected_response_bytes(memory, state);
     bool has_turn = bytes <= SMALL_BYTES || memory->waiting.length == 0;
     if (has_turn && (bytes <= SMALL_BYTES ||
                      bv_byte_account_admits(memory->account, bytes))) {
         reserve(memory, state, bytes);
-        return false;
+        return true;
     }
     state->memory_until_us =
         node->now_us + (state->deadline_us - node->now_us) / WAIT_DENOMINATOR *
@@ -160,7 +160,7 @@
     g_queue_push_tail(&memory->waiting,
                       g_memdup2(&state->tag, sizeof(state->tag)));
     bv_counter_add(BV_COUNT_CALLS_DELAYED_MEMORY, 1);
-    return true;
+    return false;
 }
 
 void
@@ -241,24 +241,34 @@
     }
 }
 
-static void
-refuse_waiting(bv_node_t *node, bv_call_state_t *state)
+bool
+bv_memory_is_waiting(const bv_call_state_t *state)
+{
+    return state->memory_until_us > 0;
+}
+
+/* start_waiting() removes the call's tag from the queue. */
+void
+bv_memory_end_wait(bv_node_t *node, bv_call_state_t *state, bv_reason_t reason)
 {
     bv_reply_t reply = {
         .status = 503,
         .outcome = BV_OUTCOME_NOT_RUN,
-        .reason = BV_REASON_NO_MEMORY,
+        .reason = reason,
     };
     bv_calls_finish(node, state, &reply);
 }
 
-/* Returns false if the call goes on waiting. */
+/*
+ * Returns false if the call goes on waiting. `has_turn` is cleared by the
+ * first call that there is no room for, so that later ones do not overtake it.
+ */
 static bool
 end_waiting(bv_node_t *node, bv_call_state_t *state, bool *has_turn)
 {
     uint64_t bytes = expected_response_bytes(node->memory, state);
     if (node->now_us >= state->memory_until_us) {
-        refuse_waiting(node, state);
+        bv_memory_end_wait(node, state, BV_REASON_NO_MEMORY);
         return true;
     }
     if (!*has_turn || !bv_byte_account_admits(node->account, bytes)) {
