--- a/peer/link.c
+++ b/peer/link.c
@@ -36,8 +36,11 @@
     uint64_t incarnation;
     uint64_t session;
     int64_t last_received_us;
-    /* Messages were sent since the last bv_link_receive_pending(). */
-    bool has_sent;
+    /*
+     * bv_link_receive_pending() is to receive from it: a message was sent,
+     * which may consume the event of the descriptor, or messages were left.
+     */
+    bool is_pending;
 } connection_t;
 
 struct bv_link {
@@ -47,9 +50,9 @@
     GHashTable *connections;
     /* Replaced connections, which only receive; oldest first. */
     GQueue replaced;
-    /* Connections whose has_sent is set. */
-    GPtrArray *sent_connections;
-    bool router_has_sent;
+    /* Connections whose is_pending is set. */
+    GPtrArray *pending_connections;
+    bool router_is_pending;
     /* Bytes of the messages that ZeroMQ has not sent; changed atomically. */
     gsize queued_bytes;
     int epoll_fd;
@@ -72,8 +75,8 @@
 free_connection(gpointer data)
 {
     connection_t *connection = data;
-    if (connection->has_sent) {
-        g_ptr_array_remove_fast(connection->link->sent_connections,
+    if (connection->is_pending) {
+        g_ptr_array_remove_fast(connection->link->pending_connections,
                                 connection);
     }
     epoll_ctl(connection->link->epoll_fd, EPOLL_CTL_DEL,
@@ -284,9 +287,9 @@
 static void
 mark_pending(bv_link_t *link, connection_t *connection)
 {
-    if (!connection->has_sent) {
-        connection->has_sent = true;
-        g_ptr_array_add(link->sent_connections, connection);
+    if (!connection->is_pending) {
+        connection->is_pending = true;
+        g_ptr_array_add(link->pending_connections, connection);
     }
 }
 
@@ -305,7 +308,7 @@
                        : receive_from_connection(link, connection, &bytes);
     }
     if (has_more && connection == NULL) {
-        link->router_has_sent = true;
+        link->router_is_pending = true;
     }
     else if (has_more) {
         mark_pending(link, connection);
@@ -363,15 +366,15 @@
 void
 bv_link_receive_pending(bv_link_t *link)
 {
-    if (link->router_has_sent) {
-        link->router_has_sent = false;
+    if (link->router_is_pending) {
+        link->router_is_pending = false;
         receive_all(link, NULL);
     }
     /* Connections that have more are added anew, behind these. */
-    for (guint left = link->sent_connections->len; left > 0; left--) {
+    for (guint left = link->pending_connections->len; left > 0; left--) {
         connection_t *connection =
-            g_ptr_array_remove_index(link->sent_connections, 0);
-        connection->has_sent = false;
+            g_ptr_array_remove_index(link->pending_connections, 0);
+        connection->is_pending = false;
         receive_all(link, connection);
     }
 }
@@ -379,7 +382,7 @@
 bool
 bv_link_has_pending(const bv_link_t *link)
 {
-    return link->router_has_sent || link->sent_connections->len > 0;
+    return link->router_is_pending || link->pending_connections->len > 0;
 }
 
 size_t
@@ -442,7 +445,7 @@
     link->connections =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_connection);
     g_queue_init(&link->replaced);
-    link->sent_connections = g_ptr_array_new();
+    link->pending_connections = g_ptr_array_new();
     link->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     return link;
 }
@@ -452,7 +455,7 @@
 {
     g_clear_pointer(&link->connections, g_hash_table_destroy);
     g_queue_clear_full(&link->replaced, free_connection);
-    g_ptr_array_unref(link->sent_connections);
+    g_ptr_array_unref(link->pending_connections);
     zmq_close(link->router);
     zmq_ctx_term(link->zmq_context);
     close(link->epoll_fd);
@@ -477,7 +480,7 @@
                 zmq_send(link->router, identity, size,
                          ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
                 send_encoded(link, link->router, message);
-    link->router_has_sent = true;
+    link->router_is_pending = true;
     bv_peer_message_destroy(message);
     return sent;
 }
