Let a learned limit of a target recover

A target that had recovered kept the limit that was learned while it was slow: work stays below the limit, so that no sample contradicted those of the bands above. The counts of the bands are now halved every 1,024 samples, from at most 256, so that what is known of unused bands expires.

--- a/core/capacity.c
+++ b/core/capacity.c
@@ -34,6 +34,14 @@
 #define SAMPLES_ABOVE 128
 #define BAND_SAMPLES_LIMIT 64
 
+/*
+ * After every AGING_SAMPLES samples the counts of the bands are halved, from
+ * at most AGING_LIMIT. Bands above a learned limit get no samples; without
+ * aging they would hold the limit for ever.
+ */
+#define AGING_SAMPLES 1024
+#define AGING_LIMIT 256
+
 typedef struct {
     double own_us;
     double downstream_us;
@@ -49,6 +57,8 @@
 struct bv_capacity {
     GHashTable *routes;
     band_t bands[BANDS];
+    /* Samples in bands since their counts were halved. */
+    uint32_t aging_samples;
     double slowness;
 };
 
@@ -76,6 +86,7 @@
 {
     g_hash_table_remove_all(capacity->routes);
     memset(capacity->bands, 0, sizeof(capacity->bands));
+    capacity->aging_samples = 0;
     capacity->slowness = 1;
 }
 
@@ -102,6 +113,16 @@
     *mean += (value - *mean) * MAX(weight, 1.0 / (count + 1));
 }
 
+static void
+age_bands(bv_capacity_t *capacity)
+{
+    capacity->aging_samples = 0;
+    for (int i = 0; i < BANDS; i++) {
+        band_t *band = &capacity->bands[i];
+        band->count = MIN(band->count, AGING_LIMIT) / 2;
+    }
+}
+
 static void
 record_band(bv_capacity_t *capacity, const bv_capacity_sample_t *sample,
             double ratio)
@@ -113,6 +134,10 @@
     band_t *band = &capacity->bands[MIN(number, BANDS - 1)];
     update_mean(&band->ratio, band->count, ratio, BAND_WEIGHT);
     band->count++;
+    capacity->aging_samples++;
+    if (capacity->aging_samples >= AGING_SAMPLES) {
+        age_bands(capacity);
+    }
 }
 
 void
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -245,6 +245,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a limit that is kept after the target has recovered: work
+ * stays below it, so that no sample contradicts what was learned above it.
+ */
+START_TEST(test_limit_recovers)
+{
+    support_random_run_t run = support_random_run(SEED, 20000);
+    GRand *random = g_rand_new_with_seed(run.seed);
+    bv_capacity_t *capacity = bv_capacity_create();
+    for (uint64_t i = 0; i < 2 * run.events; i++) {
+        bool is_slow = i < run.events;
+        uint32_t limit = is_slow ? SLOTS : bv_capacity_usable(capacity, SLOTS);
+        uint32_t running =
+            (uint32_t)g_rand_int_range(random, 1, (gint32)limit + 1);
+        double factor = is_slow && running > 5 ? running / 5.0 : 1;
+        bv_capacity_sample_t sample = {
+            .latency_us = (int64_t)(10000 * factor *
+                                    g_rand_double_range(random, 0.5, 1.5)),
+            .running = running,
+            .slots = SLOTS};
+        bv_capacity_record(capacity, &sample);
+        if (i + 1 == run.events) {
+            ck_assert_uint_le(bv_capacity_usable(capacity, SLOTS), 8);
+        }
+    }
+    ck_assert_uint_ge(bv_capacity_usable(capacity, SLOTS), 14);
+    bv_capacity_destroy(capacity);
+    g_rand_free(random);
+}
+END_TEST
+
 /*
  * Guards against an estimate that follows a sudden change only after many
  * answers, or not on routes that had none since, or not back.
@@ -457,6 +488,7 @@
     const support_test_t tests[] = {
         {"patterns", test_patterns, G_N_ELEMENTS(patterns)},
         {"usable", test_usable, G_N_ELEMENTS(capacity_cases)},
+        {"limit_recovers", test_limit_recovers, 1},
         {"sudden_change", test_sudden_change, 1},
         {"downstream", test_downstream, 1},
         {"expectation", test_expectation, G_N_ELEMENTS(expectation_cases)},
