--- a/include/berylvane/core/byte_account.h
+++ b/include/berylvane/core/byte_account.h
@@ -19,7 +19,8 @@
  * - reading of what was not reserved pauses (BV_BYTES_PAUSING),
  * - large items are not admitted (BV_BYTES_REJECTING),
  * - holders that the process waits for are closed: at first those that make
- *   no progress, above the bound those that hold most for their rate.
+ *   no progress, above the bound those that hold most for their rate, as long
+ *   as all holders together exceed what is to be freed.
  * Items up to the small size are admitted up to the bound, so that ordinary
  * requests have a reserve. With the bound 0 nothing is limited.
  *
@@ -27,6 +28,12 @@
  */
 typedef struct bv_byte_account bv_byte_account_t;
 
+/*
+ * What a connection without requests holds: its objects and buffers. Closing
+ * a holder of no more frees too little to be worth it.
+ */
+#define BV_BYTE_HOLDER_OWN_BYTES 2048
+
 typedef enum {
     BV_BYTES_NORMAL,
     BV_BYTES_PAUSING,
@@ -51,6 +58,11 @@
      * only then is a lack of progress its fault.
      */
     bool is_waiting;
+    /*
+     * The process does not read what the peer has sent. The time until it
+     * reads again does not count as a lack of progress.
+     */
+    bool is_paused;
     /* Position in the account's list. */
     uint32_t index;
     int64_t waiting_since_us;
@@ -77,7 +89,10 @@
 void bv_byte_account_set_bound(bv_byte_account_t *account,
                                uint64_t bound_bytes);
 
-/* Adds a holder, which must leave before it is freed. */
+/*
+ * Adds a holder, which must leave before it is freed. With the account NULL,
+ * here and below, only the holder's progress is recorded.
+ */
 void bv_byte_account_join(bv_byte_account_t *account, bv_byte_holder_t *holder,
                           void *owner, int64_t now_us);
 
@@ -89,6 +104,17 @@
 void bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
                          int64_t now_us, uint64_t bytes, bool is_waiting);
 
+/* Sets whether the process has stopped reading what the peer has sent. */
+void bv_byte_account_set_paused(bv_byte_holder_t *holder, int64_t now_us,
+                                bool is_paused);
+
+/*
+ * Returns the time since which a holder's peer keeps the process waiting
+ * without progress at the least rate; `now_us` if it progresses.
+ */
+int64_t bv_byte_account_stalled_since_us(bv_byte_holder_t *holder,
+                                         int64_t now_us);
+
 /* Records bytes that a holder's peer has sent or read. */
 void bv_byte_account_move(bv_byte_holder_t *holder, int64_t now_us,
                           uint64_t bytes);
