--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -1,6 +1,8 @@
 #include "berylvane/core/quota_holder.h"
 
 #include "berylvane/common/invariant.h"
+#include "quota_floor.h"
+#include "quota_stock.h"
 
 #include <string.h>
 
@@ -34,13 +36,6 @@
 #define SHARED_REQUEST_US (1000 * US_PER_MS)
 /* Retry time that is stated when the lessor does not answer. */
 #define FLOOR_RETRY_US (1000 * US_PER_MS)
-#define FLOOR_SHARE 0.5
-#define FLOOR_MEMBERS_MIN 2
-
-typedef struct {
-    uint32_t count;
-    int64_t expires_us;
-} lot_t;
 
 /* A request to the lessor that may still be answered. */
 typedef struct {
@@ -58,8 +53,7 @@
 typedef struct {
     char *name;
     bv_quota_limit_t limit;
-    /* Of lot_t, by time of expiry. */
-    GArray *lots;
+    quota_stock_t stock;
     /* Of uint64_t, in order of arrival; the first `waiters_requested` are in
      * requests. */
     GQueue waiters;
@@ -76,9 +70,7 @@
     int64_t last_refused_us;
     int64_t refused_until_us;
     int64_t refused_retry_us;
-    /* Of int64_t: times of the calls admitted from the floor in the last
-     * window. */
-    GQueue floor_uses;
+    quota_floor_t floor;
     /* Admitted in this period, and average per second. */
     uint32_t used;
     double use_per_s;
@@ -110,8 +102,8 @@
     account_t *account = data;
     g_queue_clear_full(&account->waiters, g_free);
     g_queue_clear_full(&account->open_requests, g_free);
-    g_queue_clear_full(&account->floor_uses, g_free);
-    g_array_unref(account->lots);
+    quota_floor_clear(&account->floor);
+    quota_stock_clear(&account->stock);
     g_free(account->name);
     g_free(account);
 }
@@ -156,13 +148,14 @@
     if (account == NULL) {
         account = g_new0(account_t, 1);
         account->name = g_strdup(name);
-        account->lots = g_array_new(FALSE, FALSE, sizeof(lot_t));
+        quota_stock_init(&account->stock);
+        quota_floor_init(&account->floor);
         g_hash_table_insert(holder->accounts, account->name, account);
     }
     if (limit->rate_per_s < account->limit.rate_per_s ||
         limit->burst < account->limit.burst) {
         /* Permits of a higher limit would exceed the lower one. */
-        g_array_set_size(account->lots, 0);
+        quota_stock_discard(&account->stock);
     }
     if (memcmp(&account->limit, limit, sizeof(*limit)) != 0) {
         account->refused_until_us = 0;
@@ -207,103 +200,29 @@
     }
 }
 
-static void
-drop_expired(account_t *account, int64_t now_us)
-{
-    guint expired = 0;
-    while (expired < account->lots->len &&
-           g_array_index(account->lots, lot_t, expired).expires_us <= now_us) {
-        expired++;
-    }
-    if (expired > 0) {
-        g_array_remove_range(account->lots, 0, expired);
-    }
-}
-
-static uint32_t
-count_stock(const account_t *account)
-{
-    uint32_t count = 0;
-    for (guint i = 0; i < account->lots->len; i++) {
-        count += g_array_index(account->lots, lot_t, i).count;
-    }
-    return count;
-}
-
 /* Whether so little is in stock that permits should be requested ahead. */
 static bool
 is_stock_low(const account_t *account, int64_t now_us)
 {
-    uint32_t expected = count_stock(account) + account->extra_requested;
+    uint32_t expected =
+        quota_stock_count(&account->stock) + account->extra_requested;
     return now_us >= account->prefetch_due_us &&
            2.0 * expected < account->use_per_s / STOCK_DIVISOR;
 }
 
-static void
-add_lot(account_t *account, uint32_t count, int64_t expires_us)
-{
-    guint index = account->lots->len;
-    while (index > 0 &&
-           g_array_index(account->lots, lot_t, index - 1).expires_us >
-               expires_us) {
-        index--;
-    }
-    if (index > 0 &&
-        g_array_index(account->lots, lot_t, index - 1).expires_us ==
-            expires_us) {
-        g_array_index(account->lots, lot_t, index - 1).count += count;
-        return;
-    }
-    lot_t lot = {count, expires_us};
-    g_array_insert_val(account->lots, index, lot);
-}
-
-/* Takes the permit that expires first. */
 static bool
 take_from_stock(account_t *account, int64_t now_us, bv_quota_permit_t *permit)
 {
-    drop_expired(account, now_us);
-    if (account->lots->len == 0) {
-        return false;
-    }
-    lot_t *lot = &g_array_index(account->lots, lot_t, 0);
-    *permit = (bv_quota_permit_t){BV_QUOTA_FROM_STOCK, lot->expires_us};
-    lot->count--;
-    if (lot->count == 0) {
-        g_array_remove_index(account->lots, 0);
-    }
-    return true;
+    permit->source = BV_QUOTA_FROM_STOCK;
+    return quota_stock_take(&account->stock, now_us, &permit->expires_us);
 }
 
-/* Requests that this node may admit from its floor in each window. */
-static double
-floor_share(const bv_quota_holder_t *holder, const account_t *account)
-{
-    if (holder->floor_members == 0) {
-        return 0;
-    }
-    return FLOOR_SHARE * bv_quota_overage(&account->limit, &holder->bounds) /
-           MAX(holder->floor_members, FLOOR_MEMBERS_MIN);
-}
-
-/*
- * Admits at most one share in any window. A share of less than one request
- * admits nothing, because all nodes would round it up.
- */
 static bool
 take_from_floor(const bv_quota_holder_t *holder, account_t *account,
                 int64_t now_us)
 {
-    GQueue *uses = &account->floor_uses;
-    while (uses->length > 0 &&
-           now_us - *(int64_t *)uses->head->data >= holder->bounds.window_us) {
-        g_free(g_queue_pop_head(uses));
-    }
-    if (uses->length + 1 > floor_share(holder, account)) {
-        return false;
-    }
-    g_queue_push_tail(uses, g_memdup2(&now_us, sizeof(now_us)));
-    return true;
+    return quota_floor_take(&account->floor, now_us, &account->limit,
+                            &holder->bounds, holder->floor_members);
 }
 
 static void
@@ -500,7 +419,7 @@
         return;
     }
     if (account->waiters.length == 0) {
-        add_lot(account, 1, permit->expires_us);
+        quota_stock_add(&account->stock, 1, permit->expires_us);
         return;
     }
     if (account->waiters_requested > 0) {
@@ -529,7 +448,8 @@
         return 1;
     }
     uint32_t target = (uint32_t)(account->use_per_s / STOCK_DIVISOR);
-    uint32_t expected = count_stock(account) + account->extra_requested;
+    uint32_t expected =
+        quota_stock_count(&account->stock) + account->extra_requested;
     return is_stock_low(account, now_us) && target > expected
                ? target - expected
                : 0;
@@ -588,7 +508,7 @@
         end_waits(holder, account, now_us);
         return false;
     }
-    drop_expired(account, now_us);
+    quota_stock_drop_expired(&account->stock, now_us);
     check_requested(account);
     uint32_t needed = account->waiters.length - account->waiters_requested;
     uint32_t extra = count_extra(holder, account, now_us, lessor);
@@ -712,7 +632,7 @@
     bv_quota_permit_t permit = {BV_QUOTA_FROM_LESSOR, expires_us};
     for (uint32_t i = 0; i < granted; i++) {
         if (account->waiters.length == 0) {
-            add_lot(account, granted - i, expires_us);
+            quota_stock_add(&account->stock, granted - i, expires_us);
             return;
         }
         if (i >= request->needed && account->waiters_requested > 0) {
@@ -808,7 +728,8 @@
 is_idle(const account_t *account)
 {
     return account->waiters.length == 0 &&
-           account->open_requests.length == 0 && account->lots->len == 0 &&
+           account->open_requests.length == 0 &&
+           quota_stock_count(&account->stock) == 0 &&
            account->use_per_s < USE_IDLE;
 }
 
@@ -825,7 +746,7 @@
     }
     for (guint i = holder->active->len; i-- > 0;) {
         account_t *account = holder->active->pdata[i];
-        drop_expired(account, now_us);
+        quota_stock_drop_expired(&account->stock, now_us);
         check_open_requests(holder, account, now_us);
         if (is_use_due) {
             update_use(account);
@@ -853,7 +774,7 @@
             .admitted = account->admitted,
             .admitted_from_floor = account->admitted_from_floor,
             .refused = account->refused,
-            .stock = count_stock(account),
+            .stock = quota_stock_count(&account->stock),
             .waiting = account->waiters.length,
             .is_lessor_silent = account->is_silent,
         };
