Reword what stopped a first reader; shares of descriptors below 300

Faults that it found: the share of a use was rounded down to hundreds of descriptors, so that a limit below 300 left one for each use; two constants of one name held different sizes of mapped blocks.

--- a/caller/connection.c
+++ b/caller/connection.c
@@ -186,7 +186,7 @@
            bv_byte_account_level(account) >= BV_BYTES_PAUSING;
 }
 
-/* Whether reading does not pause for lack of memory. */
+/* Whether memory permits reading. */
 static bool
 may_read(const bv_connection_t *connection)
 {
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -53,7 +53,7 @@
 /* Reads again if reading had paused and memory is free again. */
 void bv_connection_resume(bv_connection_t *connection, int64_t now_us);
 
-/* The listener of the connection with this holder of the account. */
+/* Returns the listener that owns the connection. */
 bv_listener_t *bv_connection_listener(const bv_connection_t *connection);
 
 /*
--- a/core/byte_account.c
+++ b/core/byte_account.c
@@ -24,10 +24,10 @@
 /* A period that has just begun is judged as if it had lasted this long. */
 #define LEAST_ELAPSED_US (BV_US_PER_S / 20)
 /* A holder below this rate, in bytes per second, makes no progress. */
-#define LEAST_RATE 16384
+#define MIN_RATE_BYTES_PER_S 16384
 /* Time without progress until a holder may be closed, by level. */
-#define PATIENCE_PAUSING_US (5 * BV_US_PER_S)
-#define PATIENCE_REJECTING_US (2 * BV_US_PER_S)
+#define STALL_TIMEOUT_PAUSING_US (5 * BV_US_PER_S)
+#define STALL_TIMEOUT_REJECTING_US (2 * BV_US_PER_S)
 
 struct bv_byte_account {
     bv_byte_account_options_t options;
@@ -154,7 +154,7 @@
     }
     holder->rate =
         holder->moved_bytes * (uint64_t)BV_US_PER_S / (uint64_t)elapsed_us;
-    if (holder->rate >= LEAST_RATE) {
+    if (holder->rate >= MIN_RATE_BYTES_PER_S) {
         holder->progress_us = now_us;
     }
     holder->moved_bytes = 0;
@@ -184,7 +184,7 @@
     renew_period(holder, now_us);
     int64_t elapsed_us = now_us - holder->period_us;
     uint64_t least_bytes = (uint64_t)MAX(elapsed_us, LEAST_ELAPSED_US) *
-                           LEAST_RATE / (uint64_t)BV_US_PER_S;
+                           MIN_RATE_BYTES_PER_S / (uint64_t)BV_US_PER_S;
     bool progresses = holder->moved_bytes >= least_bytes;
     return progresses ? now_us
                       : MAX(holder->waiting_since_us, holder->progress_us);
@@ -262,20 +262,26 @@
 is_stalled(const bv_byte_account_t *account, const bv_byte_holder_t *holder,
            int64_t now_us)
 {
-    int64_t patience_us = bv_byte_account_level(account) == BV_BYTES_PAUSING
-                              ? PATIENCE_PAUSING_US
-                              : PATIENCE_REJECTING_US;
+    int64_t stall_timeout_us =
+        bv_byte_account_level(account) == BV_BYTES_PAUSING
+            ? STALL_TIMEOUT_PAUSING_US
+            : STALL_TIMEOUT_REJECTING_US;
     int64_t since_us = MAX(holder->waiting_since_us, holder->progress_us);
     return holder->bytes > account->options.small_bytes &&
-           !holder->is_paused && current_rate(holder) < LEAST_RATE &&
-           now_us - since_us >= patience_us;
+           !holder->is_paused && current_rate(holder) < MIN_RATE_BYTES_PER_S &&
+           now_us - since_us >= stall_timeout_us;
 }
 
-/* Time in which the holder's bytes would move at its rate, in seconds. */
+/*
+ * Ranks holders for closing, by the seconds that their bytes would take at
+ * their rate. MIN_RATE_BYTES_PER_S is added so that holders without progress
+ * are ranked by their bytes.
+ */
 static double
 seconds_left(const bv_byte_holder_t *holder)
 {
-    return (double)holder->bytes / (double)(current_rate(holder) + LEAST_RATE);
+    return (double)holder->bytes /
+           (double)(current_rate(holder) + MIN_RATE_BYTES_PER_S);
 }
 
 /*
--- a/core/capacity.c
+++ b/core/capacity.c
@@ -23,10 +23,8 @@
 /*
  * Throughput counts as exhausted at a band if the bands above it have at least
  * LEAST_GROWTH times its concurrency and at most GAIN_LIMIT times its
- * throughput. A lower GAIN_LIMIT finds the limit late: with 1.15 the 99th
- * percentile at targets that slow at a third of their slots was 114 ms, with
- * 1.25 it is 105 ms. A higher one takes the error of the means, about 5 % for
- * exponential service times, for a limit.
+ * throughput. A lower GAIN_LIMIT finds the limit late, a higher one takes the
+ * error of the means, about 5 % for exponential service times, for a limit.
  */
 #define GAIN_LIMIT 1.25
 #define LEAST_GROWTH 1.3
--- a/core/config.c
+++ b/core/config.c
@@ -119,7 +119,7 @@
     {.name = "department",
      .kind = BV_FIELD_STRING,
      .offset = offsetof(service_fields_t, department),
-     .maximum = BV_OPERATOR_NAME_LIMIT},
+     .maximum = BV_CONFIG_NAME_LIMIT_BYTES},
     {.name = "routes",
      .kind = BV_FIELD_JSON,
      .offset = offsetof(service_fields_t, routes),
@@ -239,7 +239,7 @@
     char *shown_name = config_shown_name(name);
     char *pointer = g_strdup_printf("/services/%s", shown_name);
     g_free(shown_name);
-    if (strlen(name) > BV_OPERATOR_NAME_LIMIT) {
+    if (strlen(name) > BV_CONFIG_NAME_LIMIT_BYTES) {
         config_reject_entry(builder, pointer, "the name is too long");
         g_free(pointer);
         return;
--- a/core/config_route.c
+++ b/core/config_route.c
@@ -130,7 +130,7 @@
                             WEIGHT_LIMIT);
             continue;
         }
-        if (strlen(name) > BV_OPERATOR_NAME_LIMIT) {
+        if (strlen(name) > BV_CONFIG_NAME_LIMIT_BYTES) {
             reject_part(builder, pointer, name);
             rejected_total += (uint64_t)number;
             continue;
--- a/core/descriptor_shares.c
+++ b/core/descriptor_shares.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 
 /* Descriptors for files, which the users' platform sets aside. */
-#define FILES 200
+#define RESERVED_FOR_FILES 200
 #define PERCENT 100
 
 uint32_t
@@ -19,6 +19,8 @@
     if (limit == 0) {
         return 0;
     }
-    uint32_t shared = limit > FILES ? limit - FILES : 0;
-    return MAX(1, shared / PERCENT * percent[use]);
+    uint32_t shared =
+        limit > RESERVED_FOR_FILES ? limit - RESERVED_FOR_FILES : 0;
+    uint64_t share = (uint64_t)shared * percent[use] / PERCENT;
+    return (uint32_t)MAX(1, share);
 }
--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -16,12 +16,12 @@
 #define USE_PERIODS_PER_S 10
 #define USE_SMOOTHING 0.2
 /* Use in requests per second below which an account counts as idle. */
-#define USE_IDLE 0.01
+#define IDLE_USE_PER_S 0.01
 /* The stock that a node aims at is the use in this part of a second. */
 #define STOCK_DIVISOR 5
 /*
- * Longest time for which a refusal stands for the next calls. Other nodes'
- * calls may leave permits before, as a node may return some.
+ * Longest time for which a refusal stands for the next calls. It is
+ * short, since other nodes may return permits meanwhile.
  */
 #define REFUSAL_LIMIT_US (100 * US_PER_MS)
 /*
@@ -730,7 +730,7 @@
     return account->waiters.length == 0 &&
            account->open_requests.length == 0 &&
            quota_stock_count(&account->stock) == 0 &&
-           account->use_per_s < USE_IDLE;
+           account->use_per_s < IDLE_USE_PER_S;
 }
 
 void
--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -264,7 +264,7 @@
 {
     double rate = gain_per_s(lessor, &account->limit);
     account->refused += count;
-    /* More would state the longest delay for long after an overload. */
+    /* Bounded, so that the stated delay falls soon after an overload. */
     account->backlog = MIN(account->backlog + count,
                            rate * BV_QUOTA_WAIT_LIMIT_US / US_PER_S);
     double wait_us = MAX(1 - account->permits, 0) / rate * US_PER_S;
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -8,7 +8,7 @@
  * time would keep a node from lending after most members were replaced under
  * other names.
  */
-#define DOUBT_US (INT64_C(120) * 1000000)
+#define DEAD_MEMBER_COUNTED_US (INT64_C(120) * 1000000)
 /* Time after which a dead member is removed from the list. */
 #define FORGET_AFTER_US (INT64_C(3600) * 1000000)
 /* Interval of checks that no change of a member causes. */
@@ -106,7 +106,8 @@
  * fill their buckets from `since_us` on.
  */
 static void
-unsettle(bv_quota_members_t *members, int64_t since_us, candidate_t *candidate)
+remove_from_choice(bv_quota_members_t *members, int64_t since_us,
+                   candidate_t *candidate)
 {
     if (candidate->is_settled) {
         members->since_us = MAX(members->since_us, since_us);
@@ -161,7 +162,8 @@
     if (!is_new) {
         return;
     }
-    unsettle(members, now_us + members->options.handover_us, candidate);
+    remove_from_choice(members, now_us + members->options.handover_us,
+                       candidate);
     candidate->is_present = true;
     candidate->incarnation = record->incarnation;
     /*
@@ -187,8 +189,9 @@
     candidate_t *candidate = find_or_add(members, record->name);
     /* A dead member has lent nothing since it was suspected. */
     bool has_left = record->state == BV_MEMBER_LEFT;
-    unsettle(members, now_us + (has_left ? members->options.handover_us : 0),
-             candidate);
+    remove_from_choice(members,
+                       now_us + (has_left ? members->options.handover_us : 0),
+                       candidate);
     candidate->is_present = false;
     candidate->died_us = now_us;
     members->due_us = MIN(members->due_us, next_due_us(candidate));
@@ -207,13 +210,14 @@
 static bool
 is_counted(const candidate_t *candidate, int64_t now_us)
 {
-    return candidate->is_present || now_us < candidate->died_us + DOUBT_US;
+    return candidate->is_present ||
+           now_us < candidate->died_us + DEAD_MEMBER_COUNTED_US;
 }
 
 /*
  * Returns whether this node is in the smaller part of a divided cluster. Of
  * two equal parts, the one with the first name counts as the larger. A suspect
- * counts as not reached: the smaller part must stop to lend before the larger
+ * counts as not reached: the smaller part must stop lending before the larger
  * one evicts it.
  */
 static bool
@@ -235,7 +239,7 @@
 }
 
 static void
-settle_due(bv_quota_members_t *members, int64_t now_us)
+apply_due(bv_quota_members_t *members, int64_t now_us)
 {
     members->due_us = INT64_MAX;
     for (guint i = members->candidates->len; i-- > 0;) {
@@ -268,14 +272,14 @@
         members->check_due_us = now_us + CHECK_US;
     }
     if (was_suspended || is_cut_off || members->is_minority) {
-        unsettle(members, now_us, self);
+        remove_from_choice(members, now_us, self);
         self->settled_us = now_us + members->options.own_settle_us;
         members->since_us = MAX(members->since_us, self->settled_us);
         members->due_us = MIN(members->due_us, self->settled_us);
     }
     members->last_tick_us = now_us;
     if (now_us >= members->due_us) {
-        settle_due(members, now_us);
+        apply_due(members, now_us);
     }
     bool has_changed = members->has_changed;
     members->has_changed = false;
--- a/core/router.c
+++ b/core/router.c
@@ -322,8 +322,9 @@
 /*
  * Whether a member is avoided because of its threshold. Admission never
  * refuses work that finds a free slot, so placement ignores the threshold of a
- * member that is expected to have one: a threshold fades in 1.1 s, and
- * avoiding a member for that long would overload its siblings.
+ * member that is expected to have one: a threshold decays over REPORT_FRESH_US
+ * + REPORT_DECAY_US, and avoiding a member for that long would overload its
+ * siblings.
  */
 static bool
 is_over(const choice_t *choice, const entry_t *entry)
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -21,14 +21,16 @@
     X(ANSWERS_UNKNOWN, "answers_unknown", "answers given as unknown")         \
     X(DISPATCHES, "dispatches", "attempts handed to a peer link")             \
     X(RETRIES, "retries", "attempts after the first, paid with credit")       \
-    X(LOCAL_RETRIES, "local_retries", "retries beside the target")            \
+    X(LOCAL_RETRIES, "local_retries",                                         \
+      "requests sent again by the node beside the target")                    \
     X(REROUTES, "reroutes", "attempts moved off a draining node")             \
     X(HEDGES, "hedges", "second attempts of a slow idempotent read")          \
     X(FENCES, "fences", "fence requests sent")                                \
     X(SESSION_STALE, "session_stale", "dispatches refused as stale")          \
     X(SHED, "shed", "work refused by admission")                              \
     X(SHED_CRITICAL, "shed_critical", "critical work refused by admission")   \
-    X(TARGET_DRAINED, "target_drained", "queued work its target left")        \
+    X(TARGET_DRAINED, "target_drained",                                       \
+      "queued work refused, its target drains or left")                       \
     X(SHED_EARLY, "shed_early", "calls refused for the services below")       \
     X(OBSERVED_SHED, "observed_shed", "observed work not refused or queued")  \
     X(OBSERVED_RETRIES, "observed_retries", "observed retries not made")      \
@@ -101,8 +103,9 @@
     X(LOG_DROPPED, "log_dropped", "log lines lost")                           \
     X(QUOTA_ASKED, "quota_asked", "requests for permits sent to lessors")     \
     X(QUOTA_LENT, "quota_lent", "permits lent by this node")                  \
-    X(QUOTA_NOT_LENT, "quota_not_lent", "requests refused as not the lessor") \
-    X(QUOTA_FLOOR, "quota_floor", "calls admitted without the lessor")        \
+    X(QUOTA_NOT_LENT, "quota_not_lent",                                       \
+      "permit requests refused, not the lessor")                              \
+    X(QUOTA_FLOOR, "quota_floor", "calls admitted from the floor")            \
     X(INVARIANTS, "invariant_failures", "invariants found broken")
 
 typedef enum {
--- a/include/berylvane/core/access.h
+++ b/include/berylvane/core/access.h
@@ -54,7 +54,7 @@
 typedef struct {
     /* NULL if no keys are needed. */
     const bv_accounts_t *accounts;
-    /* The secrets of which one may have made the accounts' digests. */
+    /* Secrets to try; the accounts' digests were made with one of them. */
     const bv_key_secret_t *secrets;
     size_t secret_count;
     /* Header lines of the call. */
@@ -81,8 +81,8 @@
 /*
  * Returns the lines that a target gets of `headers`: without the key, and with
  * the header `account_header` only if `account_name` is not NULL. The header's
- * name may be NULL if the account is told otherwise. The caller frees the text
- * with g_free().
+ * name may be NULL if the dialect passes the account in another way. The
+ * caller frees the text with g_free().
  */
 char *bv_access_forwarded_headers(const char *headers,
                                   const char *account_header,
--- a/include/berylvane/core/config.h
+++ b/include/berylvane/core/config.h
@@ -100,9 +100,9 @@
  * or NULL after it has added findings; `source` names the bundle in their
  * texts.
  *
- * An entry with a name of more than BV_OPERATOR_NAME_LIMIT bytes (a service, a
- * part of a route) or a host of more than 255 is left out: a finding has its
- * location, and the rest of the configuration is returned.
+ * An entry with a name of more than BV_CONFIG_NAME_LIMIT_BYTES bytes (a
+ * service, a part of a route) or a host of more than 255 is left out: a
+ * finding has its location, and the rest of the configuration is returned.
  */
 bv_config_t *bv_config_build(const json_t *bundle, const char *site,
                              uint64_t generation, const char *source,
--- a/include/berylvane/core/descriptor_shares.h
+++ b/include/berylvane/core/descriptor_shares.h
@@ -20,7 +20,7 @@
 
 /*
  * Returns how many descriptors a use may have if the process may have `limit`;
- * 0 for no bound, which is the share of no limit.
+ * Returns 0, no bound, if `limit` is 0.
  */
 uint32_t bv_descriptor_share(uint32_t limit, bv_descriptor_use_t use);
 
--- a/include/berylvane/core/placement.h
+++ b/include/berylvane/core/placement.h
@@ -25,14 +25,14 @@
     BV_PLACEMENT_ON,
 } bv_placement_mode_t;
 
-/* Why a target gets less than its siblings, or that it does not. */
+/* Why a target gets a smaller share of calls than its siblings. */
 typedef enum {
     BV_PLACEMENT_EVEN,
     /* No report yet. */
     BV_PLACEMENT_UNKNOWN,
     /* Clearly slower than its siblings. */
     BV_PLACEMENT_SLOW,
-    /* No free slot, or no more than what it handles well. */
+    /* Its reported load has reached its usable concurrency. */
     BV_PLACEMENT_FULL,
     /* Its throughput ends below its slots. */
     BV_PLACEMENT_LIMITED,
--- a/include/berylvane/core/types.h
+++ b/include/berylvane/core/types.h
@@ -18,8 +18,8 @@
 /* Names of nodes, data centres and regions, with the NUL. */
 #define BV_NAME_BYTES 32
 /* Names that operators choose: of services and what belongs to them. */
-#define BV_OPERATOR_NAME_LIMIT 200
-#define BV_SERVICE_BYTES (BV_OPERATOR_NAME_LIMIT + 1)
+#define BV_CONFIG_NAME_LIMIT_BYTES 200
+#define BV_SERVICE_BYTES (BV_CONFIG_NAME_LIMIT_BYTES + 1)
 #define BV_ADDRESS_BYTES 46
 #define BV_ID_BYTES 16
 #define BV_ID_TEXT_BYTES (2 * BV_ID_BYTES + 1)
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -48,13 +48,13 @@
 /* Claim writes that are queued to be sent in one store transaction. */
 typedef struct bv_claim_writes bv_claim_writes_t;
 
-/* What checks the API keys of outside callers; see node/access.h. */
+/* Secrets of the API keys, and calls that are held; see node/access.h. */
 typedef struct bv_access_gate bv_access_gate_t;
 
 /* Permits that this node lends and holds; see node/quotas.h. */
 typedef struct bv_quotas bv_quotas_t;
 
-/* See memory.h. */
+/* Memory of the node; see node/memory.h. */
 typedef struct bv_memory bv_memory_t;
 
 /* An event for the decision thread, which calls `run` with `data`. */
@@ -86,7 +86,7 @@
     uint32_t readiness_refusals;
     int64_t last_refusal_us;
     /* Calls were still open at the limit: no attempt is started any more. */
-    bool is_cut_short;
+    bool has_reached_limit;
 } bv_drain_t;
 
 /*
--- a/node/access.c
+++ b/node/access.c
@@ -20,7 +20,7 @@
     uint64_t generation;
     bool is_behind;
     bool is_outdated;
-} basis_t;
+} decision_inputs_t;
 
 struct bv_access_gate {
     /* Secrets of the gossip key and of the previous one, if there is one. */
@@ -30,7 +30,7 @@
     GQueue held;
     size_t held_bytes;
     /* Last known basis, and whether it changed since calls were judged. */
-    basis_t basis;
+    decision_inputs_t basis;
     bool has_basis_changed;
 };
 
@@ -141,7 +141,7 @@
 update_basis(bv_node_t *node)
 {
     bv_access_gate_t *gate = node->access;
-    basis_t basis = {
+    decision_inputs_t basis = {
         .generation = node->config->generation,
         .is_behind = is_behind(node),
         .is_outdated = is_outdated(node),
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -70,7 +70,7 @@
     bv_node_t *node = context;
     bv_call_state_t *state = bv_request_call(request);
     bv_picked_t chosen;
-    if (node->drain.is_cut_short) {
+    if (node->drain.has_reached_limit) {
         *reason = BV_REASON_DRAINING;
         return false;
     }
--- a/node/drain.c
+++ b/node/drain.c
@@ -89,7 +89,7 @@
 static void
 end_open_calls(bv_node_t *node)
 {
-    node->drain.is_cut_short = true;
+    node->drain.has_reached_limit = true;
     bv_members_configure_admission(node);
     bv_serve_tick(node);
     bv_loop_run_events(node);
--- a/node/main.c
+++ b/node/main.c
@@ -16,7 +16,7 @@
  * pages to the kernel and fault them in again.
  */
 #define HEAP_KEPT_BYTES (8 * 1024 * 1024)
-#define MAPPED_BLOCK_BYTES (4 * 1024 * 1024)
+#define MMAP_THRESHOLD_BYTES (4 * 1024 * 1024)
 
 const char *argp_program_version = "berylvane-node " BV_VERSION;
 
@@ -34,7 +34,7 @@
 limit_heap_trimming(void)
 {
     mallopt(M_TRIM_THRESHOLD, HEAP_KEPT_BYTES);
-    mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 }
 
 static error_t
--- a/node/member_row.c
+++ b/node/member_row.c
@@ -67,7 +67,7 @@
     {.name = "service",
      .kind = BV_FIELD_STRING,
      .offset = offsetof(row_t, service),
-     .maximum = BV_OPERATOR_NAME_LIMIT},
+     .maximum = BV_CONFIG_NAME_LIMIT_BYTES},
     TEXT("data_centre", data_centre, BV_NAME_BYTES - 1),
     TEXT("region", region, BV_NAME_BYTES - 1),
     TEXT("address", address, BV_ADDRESS_BYTES - 1),
--- a/node/members.c
+++ b/node/members.c
@@ -194,7 +194,7 @@
         .queue_target_us = 10 * BV_US_PER_MS,
         .long_share_percent = 40,
         .is_draining = bv_local_target_is_leaving(&node->target) ||
-                       node->drain.is_cut_short,
+                       node->drain.has_reached_limit,
     };
     if (node->config != NULL) {
         options.queue_limit = node->config->queue_limit;
--- a/node/memory.c
+++ b/node/memory.c
@@ -13,9 +13,8 @@
 #define SMALL_BYTES 65536
 /*
  * Expected size of an idempotent call's response while none of its route is
- * known: the largest there is. It bounds the calls that are open until the
- * first one is answered. With 4 MiB a burst of 60 downloads of 7 MiB took up
- * to 217 MB on a busy machine, of a limit of 160.
+ * known: the largest there is. With a smaller value, a first burst of large
+ * responses could exceed the bound.
  */
 #define UNKNOWN_RESPONSE_BYTES BV_PEER_BODY_LIMIT_BYTES
 /* Part of the expected size that a smaller response takes away. */
@@ -26,11 +25,11 @@
 #define WAIT_DENOMINATOR 4
 #define LOG_INTERVAL_US BV_US_PER_S
 /*
- * Larger blocks are mapped one by one, so that they are returned to the system
- * when they are freed. The C library otherwise raises this limit to the size
- * of the largest block that was freed.
+ * Replaces the threshold of main.c while memory is bounded: blocks from this
+ * size on are mapped separately, so that freeing them returns their memory to
+ * the system.
  */
-#define MAPPED_BLOCK_BYTES (128 * 1024)
+#define BOUNDED_MMAP_THRESHOLD_BYTES (128 * 1024)
 
 struct bv_memory {
     bv_byte_account_t *account;
@@ -68,7 +67,7 @@
     memory->expected_by_route = g_hash_table_new(NULL, NULL);
     g_queue_init(&memory->waiting);
     if (options.bound_bytes > 0) {
-        mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+        mallopt(M_MMAP_THRESHOLD, BOUNDED_MMAP_THRESHOLD_BYTES);
     }
     node->memory = memory;
     node->account = memory->account;
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -14,13 +14,11 @@
 #define STATUS_UNAVAILABLE 503
 /* Longer than an update takes to reach all members. */
 #define SETTLE_US BV_US_PER_S
-/*
- * SETTLE_US, the time until all members see this one, and the time for which
- * nobody lends between two lessors.
- */
-#define OWN_SETTLE_US (2300 * BV_US_PER_MS)
-/* More than the time that a permit may be on its way. */
+/* Longest time until all members see a new one. */
+#define SEEN_BY_ALL_US (700 * BV_US_PER_MS)
+/* Longer than the lifetime of a permit. */
 #define HANDOVER_US (600 * BV_US_PER_MS)
+#define OWN_SETTLE_US (SETTLE_US + SEEN_BY_ALL_US + HANDOVER_US)
 /* Less than the shortest time from a suspicion to an eviction. */
 #define SUSPENSION_US BV_US_PER_S
 /* The stated delay is spread up to this part above the least. */
--- a/node/settings.c
+++ b/node/settings.c
@@ -47,7 +47,7 @@
      .kind = BV_FIELD_CHOICE,
      .offset = offsetof(bv_settings_t, dialect),
      .choices = dialect_names},
-    TEXT("service", service, false, BV_OPERATOR_NAME_LIMIT),
+    TEXT("service", service, false, BV_CONFIG_NAME_LIMIT_BYTES),
     TEXT("outside", outside_text, false, ENDPOINT_BYTES),
     TEXT("local", local_text, false, ENDPOINT_BYTES),
     TEXT("control", control_text, false, ENDPOINT_BYTES),
