--- a/tests/test_byte_account.c
+++ b/tests/test_byte_account.c
@@ -262,11 +262,14 @@
 } share_case_t;
 
 static const share_case_t share_cases[] = {
-    {0, 0, 0},         {100, 1, 1},       {500, 120, 30},
-    {4100, 1560, 390}, {8192, 3160, 790},
+    {0, 0, 0},      {100, 1, 1},       {250, 20, 5},      {299, 39, 9},
+    {500, 120, 30}, {4100, 1560, 390}, {8192, 3196, 799},
 };
 
-/* The shares leave a reserve for accepted work, peers and the platform. */
+/*
+ * The shares leave a reserve for accepted work, peers and the platform. Guards
+ * against shares that are rounded down to whole hundreds of descriptors.
+ */
 START_TEST(test_descriptors)
 {
     const share_case_t *row = &share_cases[_i];
