Memory: calls of a route without a known size wait for that route alone

After a start, calls of all routes waited for room of the largest response each, in one line: at a node of 160 MB seven calls were open until the first response, and the reservations paused reading.

Up to seven idempotent calls of a route are open before a size is known, with the room of a small response; they hold up neither other routes nor reading. The first response of the route tells its size, as before.

--- a/node/memory.c
+++ b/node/memory.c
@@ -12,11 +12,11 @@
 #define BYTES_PER_MB (UINT64_C(1024) * 1024)
 #define SMALL_BYTES 65536
 /*
- * Expected size of an idempotent call's response while none of its route is
- * known: the largest there is. With a smaller value, a first burst of large
- * responses could exceed the bound.
+ * Idempotent calls of one route that are open before the size of any of its
+ * responses is known. As many of the largest responses fit into the smallest
+ * instance.
  */
-#define UNKNOWN_RESPONSE_BYTES BV_PEER_BODY_LIMIT_BYTES
+#define UNKNOWN_CALLS_LIMIT 7
 /* Part of the expected size that a smaller response takes away. */
 #define EXPECTED_DECAY 8
 #define ROUTES_LIMIT 4096
@@ -41,6 +41,8 @@
     uint64_t expected_bytes;
     /* Expected size of a response by the hash of the route's name. */
     GHashTable *expected_by_route;
+    /* Open calls by the hash of a route of which no size is known. */
+    GHashTable *unknown_calls;
     /* Tags of the calls that wait for memory, in the order of arrival. */
     GQueue waiting;
     /* Connections closed and not logged yet. */
@@ -65,6 +67,7 @@
     };
     memory->account = bv_byte_account_create(&options);
     memory->expected_by_route = g_hash_table_new(NULL, NULL);
+    memory->unknown_calls = g_hash_table_new(NULL, NULL);
     g_queue_init(&memory->waiting);
     if (options.bound_bytes > 0) {
         mallopt(M_MMAP_THRESHOLD, BOUNDED_MMAP_THRESHOLD_BYTES);
@@ -79,6 +82,7 @@
     bv_memory_t *memory = node->memory;
     g_queue_clear_full(&memory->waiting, g_free);
     g_hash_table_destroy(memory->expected_by_route);
+    g_hash_table_destroy(memory->unknown_calls);
     bv_byte_account_destroy(memory->account);
     g_free(memory);
 }
@@ -102,18 +106,37 @@
                                uses[role]);
 }
 
-static uint64_t
-expected_response_bytes(const bv_memory_t *memory,
-                        const bv_call_state_t *state)
+/* Returns whether a size is known; calls that may run once need no room. */
+static bool
+is_size_known(const bv_memory_t *memory, const bv_call_state_t *state,
+              uint64_t *bytes)
 {
-    gpointer value;
+    gpointer value = NULL;
     bool is_known = g_hash_table_lookup_extended(
         memory->expected_by_route, GUINT_TO_POINTER(state->route_hash), NULL,
         &value);
-    if (is_known) {
-        return GPOINTER_TO_SIZE(value);
+    *bytes = GPOINTER_TO_SIZE(value);
+    return is_known || !state->route->is_idempotent;
+}
+
+static guint
+count_unknown(const bv_memory_t *memory, const bv_call_state_t *state)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(
+        memory->unknown_calls, GUINT_TO_POINTER(state->route_hash)));
+}
+
+static void
+add_unknown(bv_memory_t *memory, bv_call_state_t *state, int change)
+{
+    gpointer route = GUINT_TO_POINTER(state->route_hash);
+    guint count = count_unknown(memory, state) + (guint)change;
+    state->has_unknown_size = change > 0;
+    if (count == 0) {
+        g_hash_table_remove(memory->unknown_calls, route);
+        return;
     }
-    return state->route->is_idempotent ? UNKNOWN_RESPONSE_BYTES : 0;
+    g_hash_table_insert(memory->unknown_calls, route, GUINT_TO_POINTER(count));
 }
 
 static void
@@ -139,6 +162,33 @@
     bv_byte_account_charge(memory->account, bytes);
 }
 
+/*
+ * Reserves memory for the response of a call, if there is any. `has_turn` is
+ * cleared by the first call with a large response that there is no room for,
+ * so that later ones do not overtake it.
+ */
+static bool
+try_reserve(bv_node_t *node, bv_call_state_t *state, bool *has_turn)
+{
+    bv_memory_t *memory = node->memory;
+    uint64_t bytes;
+    if (!is_size_known(memory, state, &bytes)) {
+        if (count_unknown(memory, state) >= UNKNOWN_CALLS_LIMIT) {
+            return false;
+        }
+        add_unknown(memory, state, 1);
+        reserve(memory, state, SMALL_BYTES);
+        return true;
+    }
+    if (bytes > SMALL_BYTES &&
+        (!*has_turn || !bv_byte_account_admits(memory->account, bytes))) {
+        *has_turn = false;
+        return false;
+    }
+    reserve(memory, state, bytes);
+    return true;
+}
+
 bool
 bv_memory_reserve_or_wait(bv_node_t *node, bv_call_state_t *state)
 {
@@ -146,11 +196,8 @@
     if (node->settings->memory_limit_mb == 0) {
         return true;
     }
-    uint64_t bytes = expected_response_bytes(memory, state);
-    bool has_turn = bytes <= SMALL_BYTES || memory->waiting.length == 0;
-    if (has_turn && (bytes <= SMALL_BYTES ||
-                     bv_byte_account_admits(memory->account, bytes))) {
-        reserve(memory, state, bytes);
+    bool has_turn = memory->waiting.length == 0;
+    if (try_reserve(node, state, &has_turn)) {
         return true;
     }
     state->memory_until_us =
@@ -170,6 +217,9 @@
     memory->expected_bytes -= state->expected_bytes;
     state->expected_bytes = 0;
     state->memory_until_us = 0;
+    if (state->has_unknown_size) {
+        add_unknown(memory, state, -1);
+    }
     if (reply->outcome == BV_OUTCOME_RAN && state->route != NULL) {
         learn_response(memory, state,
                        reply->body != NULL ? g_bytes_get_size(reply->body)
@@ -258,23 +308,17 @@
     bv_calls_finish(node, state, &reply);
 }
 
-/*
- * Returns false if the call goes on waiting. `has_turn` is cleared by the
- * first call that there is no room for, so that later ones do not overtake it.
- */
+/* Returns false if the call goes on waiting; see try_reserve(). */
 static bool
 end_waiting(bv_node_t *node, bv_call_state_t *state, bool *has_turn)
 {
-    uint64_t bytes = expected_response_bytes(node->memory, state);
     if (node->now_us >= state->memory_until_us) {
         bv_memory_end_wait(node, state, BV_REASON_NO_MEMORY);
         return true;
     }
-    if (!*has_turn || !bv_byte_account_admits(node->account, bytes)) {
-        *has_turn = false;
+    if (!try_reserve(node, state, has_turn)) {
         return false;
     }
-    reserve(node->memory, state, bytes);
     state->memory_until_us = 0;
     bv_quotas_begin(node, state);
     return true;
