Tests: ports of nodes are below those of outgoing connections

The address sanitizer's report shows a node that ended in bv_node_create(): a listener could not bind. The fixture asked the system for a free port and closed it; until the node was started, an outgoing connection of another program could take it. That e2e_platform once got 503 for 60 s while copies of it ran fits the same cause.

--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -14,6 +14,10 @@
 #include <unistd.h>
 
 #define POLL_US 20000
+#define PORT_FIRST 24000
+#define PORT_COUNT 8000
+/* More than a test needs, so that tests that run at once rarely meet. */
+#define PORTS_PER_PROCESS 97
 #define LONG_AGO_MS G_GINT64_CONSTANT(9)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define RENDEZVOUS_DEFAULT_MS 120000
@@ -21,20 +25,38 @@
 #define GOSSIP_KEY                                                            \
     "0000000000000000000000000000000000000000000000000000000000000000"
 
-/* Returns a port that was free when it was asked for. */
-static uint16_t
-free_port(void)
+static bool
+is_port_free(uint16_t port, int type)
 {
     struct sockaddr_in address = {
         .sin_family = AF_INET,
         .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+        .sin_port = htons(port),
     };
-    socklen_t size = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
-    getsockname(fd, (struct sockaddr *)&address, &size);
+    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    bool is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
     close(fd);
-    return ntohs(address.sin_port);
+    return is_free;
+}
+
+/*
+ * Returns a port that was free when it was asked for. It is below the ports
+ * that the system gives to outgoing connections: one of these took a node's
+ * port before the node was started.
+ */
+static uint16_t
+free_port(void)
+{
+    static unsigned int count;
+    for (;;) {
+        unsigned int number =
+            (unsigned int)getpid() * PORTS_PER_PROCESS + count++;
+        uint16_t port = (uint16_t)(PORT_FIRST + number % PORT_COUNT);
+        if (is_port_free(port, SOCK_STREAM) &&
+            is_port_free(port, SOCK_DGRAM)) {
+            return port;
+        }
+    }
 }
 
 static pid_t
