--- a/tests/test_response_memory.c
+++ b/tests/test_response_memory.c
@@ -70,7 +70,7 @@
 {
     const reserve_case_t *row = &cases[_i];
     bv_node_t node = {.settings = &settings};
-    bv_call_state_t open[UNKNOWN_CALLS];
+    bv_call_state_t *open = g_new0(bv_call_state_t, UNKNOWN_CALLS);
     bv_memory_create(&node);
     for (uint32_t i = 0; i < row->open_of_a; i++) {
         open[i] = make_call(&idempotent, ROUTE_A, i + 1);
@@ -86,6 +86,7 @@
     ck_assert_msg(bv_memory_is_waiting(&call) == !row->is_started, "%s",
                   row->name);
     bv_memory_destroy(&node);
+    g_free(open);
 }
 END_TEST
 
