Platform test: hand held calls over in a ring

The thread sanitizer reported races between the thread that holds a call and the one that answers it: GLib is not built with the sanitizer, so the lock of GAsyncQueue is not seen. The ring uses an apr_queue, whose lock it sees. The checks of the test are unchanged.

--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -18,6 +18,8 @@
 #define PORT_COUNT 8000
 /* More than a test needs, so that tests that run at once rarely meet. */
 #define PORTS_PER_PROCESS 97
+/* More calls than a test sends while the target holds them. */
+#define HELD_CALLS_MAX 64
 #define LONG_AGO_MS G_GINT64_CONSTANT(9)
 #define CALL_TIMEOUT_US (5 * BV_US_PER_S)
 #define RENDEZVOUS_DEFAULT_MS 120000
@@ -158,7 +160,8 @@
     }
     gint mode = g_atomic_int_get(&node->mode);
     if (mode == PLATFORM_TARGET_HOLD) {
-        g_async_queue_push(node->held, call);
+        g_atomic_int_inc(&node->held_count);
+        ck_assert(bv_ring_push(node->held, call));
         return true;
     }
     answer_as(node, call, mode);
@@ -169,7 +172,7 @@
 platform_wait_for_held(platform_fixture_t *fixture, size_t node_index)
 {
     int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
-    while (g_async_queue_length(fixture->nodes[node_index].held) <= 0) {
+    while (g_atomic_int_get(&fixture->nodes[node_index].held_count) == 0) {
         ck_assert_msg(bv_clock_now_us() < end_us, "no call is held");
         usleep(POLL_US);
     }
@@ -179,8 +182,9 @@
 platform_answer_held(platform_fixture_t *fixture, size_t node_index)
 {
     platform_node_t *node = &fixture->nodes[node_index];
-    bv_call_t *call = g_async_queue_try_pop(node->held);
+    bv_call_t *call = bv_ring_wait(node->held, PLATFORM_STATE_TIMEOUT_US);
     ck_assert_ptr_nonnull(call);
+    g_atomic_int_add(&node->held_count, -1);
     g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
     answer_as(node, call, PLATFORM_TARGET_SERVE);
 }
@@ -190,7 +194,8 @@
 {
     g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
     bv_call_t *call;
-    while ((call = g_async_queue_try_pop(node->held)) != NULL) {
+    while ((call = bv_ring_pop(node->held)) != NULL) {
+        g_atomic_int_add(&node->held_count, -1);
         answer_as(node, call, PLATFORM_TARGET_SERVE);
     }
 }
@@ -328,7 +333,8 @@
     ck_assert_uint_lt(node_index, PLATFORM_NODES_MAX);
     platform_node_t *node = &fixture->nodes[node_index];
     node->service = service;
-    node->held = g_async_queue_new();
+    apr_pool_create(&node->pool, NULL);
+    node->held = bv_ring_create(node->pool, HELD_CALLS_MAX);
     for (int i = 0; i < PLATFORM_PORTS; i++) {
         node->ports[i] = free_port();
     }
@@ -417,7 +423,7 @@
     g_free(node->caller);
     g_free(node->account);
     g_free(node->authorization);
-    g_async_queue_unref(node->held);
+    apr_pool_destroy(node->pool);
     char *path =
         g_strdup_printf("%s/node-%zu.json", fixture->directory, node_index);
     remove(path);
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -6,6 +6,7 @@
 #include "berylvane/caller/listener.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/http_call.h"
+#include "berylvane/common/ring.h"
 
 #include <sys/types.h>
 
@@ -56,8 +57,11 @@
     gint served;
     /* Number of calls that have reached the target. */
     gint arrived;
-    /* Calls that the target holds, of bv_call_t. */
-    GAsyncQueue *held;
+    /* Calls that the target holds, of bv_call_t, and their number. A ring, as
+     * the thread sanitizer does not see the locks of GLib. */
+    bv_ring_t *held;
+    gint held_count;
+    apr_pool_t *pool;
     /* Name of the service that made the last call. */
     char *caller;
     /* Headers Tenant-Id and Authorization of the last call; NULL for none. */
