Quota test: a program for each module, and one for the cluster

Cause: tests/test_quota.c held the tests of three modules and of all nodes together in 852 lines.

The cases and checks are moved unchanged.

--- /dev/null
+++ b/tests/test_quota_lessor.c
@@ -0,0 +1,180 @@
+#include "berylvane/core/quota_lessor.h"
+#include "support.h"
+
+/*
+ * The buckets from which a lessor lends permits.
+ */
+#define MS 1000
+#define SECOND_US 1000000
+#define ACCOUNT "acme"
+
+typedef struct {
+    int64_t at_us;
+    uint32_t needed;
+    uint32_t wanted;
+    uint32_t granted;
+    int64_t wait_us;
+} lend_case_t;
+
+static const lend_case_t lend_steps[] = {
+    /* Empty at the time from which the node is the lessor. */
+    {0, 1, 1, 0, 100 * MS},
+    {100 * MS, 1, 1, 1, 0},
+    {1100 * MS, 4, 4, 4, 0},
+    /* 6 are left of 20: nothing beyond what is needed. */
+    {1100 * MS, 1, 10, 1, 0},
+    /* Full: the upper half is lent ahead. */
+    {5 * SECOND_US, 1, 15, 10, 0},
+    {5 * SECOND_US, 20, 20, 10, 100 * MS},
+};
+
+/*
+ * Guards against a bucket that starts with permits, and against permits lent
+ * ahead that are missing elsewhere.
+ */
+START_TEST(test_lend)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_lessor_set_limit(lessor, 0, ACCOUNT, &limit);
+    for (size_t i = 0; i < G_N_ELEMENTS(lend_steps); i++) {
+        const lend_case_t *step = &lend_steps[i];
+        bv_quota_request_t request = {ACCOUNT, step->needed, step->wanted};
+        bv_quota_reply_t reply =
+            bv_quota_lessor_lend(lessor, step->at_us, 0, &request);
+        ck_assert_int_eq(reply.status, BV_QUOTA_GRANTED);
+        ck_assert_uint_eq(reply.granted, step->granted);
+        ck_assert_int_eq(reply.wait_us, step->wait_us);
+    }
+    bv_quota_request_t unknown = {"unknown", 1, 1};
+    ck_assert_int_eq(bv_quota_lessor_lend(lessor, 0, 0, &unknown).status,
+                     BV_QUOTA_NOT_LESSOR);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+typedef struct {
+    int64_t at_us;
+    uint32_t needed;
+    uint32_t granted;
+} burst_case_t;
+
+/*
+ * Rate 10, burst 20, window 5 s, 10% and 20 allowed: a bucket of
+ * 20 + 0.25 * 27 = 26.75 that gains 14 a second, and 76.75 in 5 s.
+ */
+static const burst_case_t burst_steps[] = {
+    {5 * SECOND_US, 100, 26},
+    {7 * SECOND_US, 100, 26},
+    /* The bucket has 26, and the window has room for 24. */
+    {9900 * MS, 100, 24},
+    {9950 * MS, 1, 0},
+    /* The first burst has left the window; the gain since 9.95 s is left. */
+    {10300 * MS, 100, 5},
+};
+
+/*
+ * Guards against callers that are refused below the quota of a window since
+ * they come in groups, and against a bucket that lends more than the quota.
+ */
+START_TEST(test_burst)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
+    bv_quota_lessor_set_limit(lessor, 0, ACCOUNT, &limit);
+    for (size_t i = 0; i < G_N_ELEMENTS(burst_steps); i++) {
+        const burst_case_t *step = &burst_steps[i];
+        bv_quota_request_t request = {ACCOUNT, step->needed, step->needed};
+        bv_quota_reply_t reply =
+            bv_quota_lessor_lend(lessor, step->at_us, 0, &request);
+        ck_assert_uint_eq(reply.granted, step->granted);
+    }
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+/*
+ * Guards against a bucket that keeps counting by a window that is no longer
+ * configured: it starts again empty.
+ */
+START_TEST(test_window_changed)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_bounds_t bounds = {5 * SECOND_US, 0.1, 20};
+    bv_quota_request_t request = {ACCOUNT, 1, 1};
+    bv_quota_lessor_set_bounds(lessor, 0, &bounds);
+    bv_quota_lessor_set_limit(lessor, 0, ACCOUNT, &limit);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 5 * SECOND_US, 0, &request).granted, 1);
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 1);
+    bounds.window_us = SECOND_US;
+    bv_quota_lessor_set_bounds(lessor, 6 * SECOND_US, &bounds);
+    ck_assert_uint_eq(
+        bv_quota_lessor_lend(lessor, 6 * SECOND_US, 0, &request).granted, 0);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+/*
+ * Guards against callers that are told to stay away for 5 s long after an
+ * overload: what is refused counts only as far as it affects the delay.
+ */
+START_TEST(test_backlog)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_request_t overload = {ACCOUNT, 10000, 10000};
+    bv_quota_request_t later = {ACCOUNT, 21, 21};
+    bv_quota_lessor_set_limit(lessor, 0, ACCOUNT, &limit);
+    ck_assert_int_eq(bv_quota_lessor_lend(lessor, 0, 0, &overload).retry_us,
+                     BV_QUOTA_WAIT_LIMIT_US);
+    ck_assert_int_eq(
+        bv_quota_lessor_lend(lessor, 10 * SECOND_US, 0, &later).retry_us,
+        200 * MS);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+static bool
+is_never(void *context, const char *account)
+{
+    (void)context;
+    (void)account;
+    return false;
+}
+
+/*
+ * Guards against a lessor that keeps its permits while another one lends:
+ * after a change the bucket is filled only from the new time on.
+ */
+START_TEST(test_forget)
+{
+    bv_quota_lessor_t *lessor = bv_quota_lessor_create();
+    bv_quota_limit_t limit = {10, 20};
+    bv_quota_request_t request = {ACCOUNT, 20, 20};
+    bv_quota_lessor_set_limit(lessor, 0, ACCOUNT, &limit);
+    bv_quota_lessor_lend(lessor, SECOND_US, 0, &request);
+    bv_quota_lessor_forget(lessor, is_never, NULL);
+    bv_quota_reply_t reply =
+        bv_quota_lessor_lend(lessor, 10 * SECOND_US, 9 * SECOND_US, &request);
+    ck_assert_uint_eq(reply.granted, 10);
+    bv_quota_lessor_destroy(lessor);
+}
+END_TEST
+
+int
+main(void)
+{
+    const support_test_t tests[] = {{"lend", test_lend, 1},
+                                    {"burst", test_burst, 1},
+                                    {"window_changed", test_window_changed, 1},
+                                    {"backlog", test_backlog, 1},
+                                    {"forget", test_forget, 1},
+                                    {NULL}};
+    return support_run("quota_lessor", tests);
+}
