--- a/tests/placement_model.h
+++ b/tests/placement_model.h
@@ -13,7 +13,7 @@
  * at random. A refused call is not retried, so it shows in the goodput.
  */
 typedef enum {
-    /* core/router.c with placement off. */
+    /* core/router with placement off. */
     MODEL_TODAY,
     /* Random choice by the targets' nominal throughput, which never changes.
      */
@@ -22,7 +22,7 @@
     MODEL_LEAST,
     /* Least completion time by the present state of all targets. */
     MODEL_ORACLE,
-    /* core/router.c with placement on. */
+    /* core/router with placement on. */
     MODEL_PLACEMENT,
     MODEL_POLICY_END,
 } model_policy_t;
