--- a/node/access.c
+++ b/node/access.c
@@ -4,10 +4,9 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/gauges.h"
+#include "berylvane/common/http_status.h"
 #include "berylvane/core/access.h"
 
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_UNAVAILABLE 503
 /* RFC 9110, section 11.6.1: a response 401 names the scheme. */
 #define CHALLENGE "WWW-Authenticate: Bearer\r\n"
 /* Bounds of held calls; a call beyond them is answered with 503 at once. */
@@ -191,7 +190,7 @@
 refuse_held(bv_node_t *node, bv_call_t *call)
 {
     bv_reply_t reply = {
-        .status = STATUS_UNAVAILABLE,
+        .status = BV_STATUS_UNAVAILABLE,
         .outcome = call->idempotency_key != NULL ? BV_OUTCOME_UNKNOWN
                                                  : BV_OUTCOME_NOT_RUN,
         .reason = BV_REASON_CONFIG_BEHIND,
@@ -290,19 +289,19 @@
         return true;
     case BV_ACCESS_DENIED:
         bv_counter_add(BV_COUNT_ACCESS_DENIED, 1);
-        refusal->status = STATUS_UNAUTHORIZED;
+        refusal->status = BV_STATUS_UNAUTHORIZED;
         refusal->reason = BV_REASON_UNAUTHORIZED;
         refusal->headers = CHALLENGE;
         return false;
     case BV_ACCESS_UNVERIFIED:
         bv_counter_add(BV_COUNT_ACCESS_UNVERIFIED, 1);
-        refusal->status = STATUS_UNAVAILABLE;
+        refusal->status = BV_STATUS_UNAVAILABLE;
         refusal->reason = BV_REASON_UNAUTHORIZED;
         return false;
     case BV_ACCESS_UNDECIDED:
     case BV_ACCESS_OUTDATED:
         bv_counter_add(BV_COUNT_ACCESS_UNDECIDED, 1);
-        refusal->status = STATUS_UNAVAILABLE;
+        refusal->status = BV_STATUS_UNAVAILABLE;
         refusal->reason = BV_REASON_CONFIG_BEHIND;
         return false;
     }
@@ -322,13 +321,13 @@
         .kind = BV_DECISION_ANSWERED,
         .reason = BV_REASON_UNAUTHORIZED,
         .outcome = BV_OUTCOME_NOT_RUN,
-        .number = STATUS_UNAUTHORIZED,
+        .number = BV_STATUS_UNAUTHORIZED,
         .label = call->label,
     };
     bv_node_record_decision(node, &decision);
     bv_counter_add(BV_COUNT_ACCESS_DENIED, 1);
-    bv_account_counters_add(NULL, STATUS_UNAUTHORIZED, true);
-    return STATUS_UNAUTHORIZED;
+    bv_account_counters_add(NULL, BV_STATUS_UNAUTHORIZED, true);
+    return BV_STATUS_UNAUTHORIZED;
 }
 
 void
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -2,6 +2,7 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
+#include "berylvane/common/http_status.h"
 #include "berylvane/core/quota_holder.h"
 #include "berylvane/core/quota_lessor.h"
 #include "berylvane/core/quota_members.h"
@@ -10,8 +11,6 @@
 
 #include <string.h>
 
-#define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_UNAVAILABLE 503
 /* Longer than an update takes to reach all members. */
 #define SETTLE_US BV_US_PER_S
 /* Longest time until all members see a new one. */
@@ -180,7 +179,7 @@
     state->waits_for_permit = false;
     state->quota_retry_us = spread_retry_us(node, retry_us);
     bv_node_count_reason(BV_REASON_QUOTA);
-    answer(node, state, STATUS_TOO_MANY_REQUESTS, BV_REASON_QUOTA);
+    answer(node, state, BV_STATUS_TOO_MANY_REQUESTS, BV_REASON_QUOTA);
 }
 
 /* Returns NULL if the call was observed only, and has started or ended. */
@@ -322,7 +321,7 @@
 bv_quotas_end_wait(bv_node_t *node, bv_call_state_t *state, bv_reason_t reason)
 {
     leave(node, state);
-    answer(node, state, STATUS_UNAVAILABLE, reason);
+    answer(node, state, BV_STATUS_UNAVAILABLE, reason);
 }
 
 void
