Benchmarks: one loader and one start of a deployment

Cause: bench/calls/main.c and bench/driver each read JSON files, started the cluster and printed why it did not start.

Change: bench/common/deployment.c has bench_load_json(), which was driver_load_json(), and bench_start_cluster(); both programs use them. Status and output are the same, except that berylvane-bench-calls now tells why a deployment file cannot be read, and the line of an error in it, as berylvane-bench does.

--- a/bench/calls/main.c
+++ b/bench/calls/main.c
@@ -1,8 +1,7 @@
-#include "calls.h"
-
+#include "../common/deployment.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/program.h"
-#include "berylvane/standin/cluster.h"
+#include "calls.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -182,34 +181,20 @@
 }
 
 static bool
-run(const arguments_t *arguments)
+run(const arguments_t *arguments, const json_t *deployment)
 {
-    GError *error = NULL;
-    char *path = g_build_filename(arguments->deployment_directory,
-                                  "deployment.json", NULL);
-    json_t *deployment = json_load_file(path, 0, NULL);
     cluster_options_t cluster_options = {
         .build_directory = arguments->build_directory,
         .work_directory = arguments->work_directory,
         .deployment = deployment,
         .deployment_directory = arguments->deployment_directory,
     };
-    if (deployment == NULL) {
-        fprintf(stderr, "%s: cannot be read\n", path);
-        g_free(path);
-        return false;
-    }
-    g_free(path);
-    cluster_t *cluster = cluster_start(&cluster_options, &error);
+    cluster_t *cluster = bench_start_cluster(&cluster_options, NULL);
     if (cluster == NULL) {
-        fprintf(stderr, "cannot start the deployment: %s\n", error->message);
-        g_error_free(error);
-        json_decref(deployment);
         return false;
     }
     bool succeeded = measure_all(arguments, cluster);
     succeeded &= cluster_stop(cluster);
-    json_decref(deployment);
     return succeeded;
 }
 
@@ -224,8 +209,16 @@
     };
     argp_err_exit_status = BV_EXIT_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &arguments);
+    char *path = g_build_filename(arguments.deployment_directory,
+                                  "deployment.json", NULL);
+    json_t *deployment = bench_load_json(path, NULL);
+    g_free(path);
+    if (deployment == NULL) {
+        return BV_EXIT_FAILED;
+    }
     apr_pool_t *pool = bv_program_start();
-    bool succeeded = run(&arguments);
+    bool succeeded = run(&arguments, deployment);
     bv_program_stop(pool);
+    json_decref(deployment);
     return succeeded ? BV_EXIT_OK : BV_EXIT_FAILED;
 }
--- a/bench/driver/driver.h
+++ b/bench/driver/driver.h
@@ -43,13 +43,6 @@
                                 const json_t *scenario, const char *variant,
                                 int64_t seed);
 
-/*
- * Loads a JSON file in whose text each key of `words` (may be NULL) is first
- * replaced by the key's value. Returns a new reference, or NULL after printing
- * the error.
- */
-json_t *driver_load_json(const char *path, const json_t *words);
-
 /*
  * Returns the results of one run, computed from the report of its load: a new
  * JSON object of numbers by name.
--- a/bench/driver/main.c
+++ b/bench/driver/main.c
@@ -1,6 +1,6 @@
-#include "driver.h"
-
+#include "../common/deployment.h"
 #include "berylvane/common/program.h"
+#include "driver.h"
 
 #include <argp.h>
 #include <stdio.h>
@@ -106,7 +106,6 @@
 run_variant(const driver_options_t *arguments, const json_t *deployment,
             const char *label)
 {
-    GError *error = NULL;
     char *run_directory =
         g_build_filename(arguments->work_directory, label, NULL);
     g_mkdir_with_parents(run_directory, 0755);
@@ -116,11 +115,8 @@
         .deployment = deployment,
         .deployment_directory = arguments->work_directory,
     };
-    cluster_t *cluster = cluster_start(&cluster_options, &error);
+    cluster_t *cluster = bench_start_cluster(&cluster_options, label);
     if (cluster == NULL) {
-        fprintf(stderr, "%s: cannot start the deployment: %s\n", label,
-                error->message);
-        g_error_free(error);
         g_free(run_directory);
         return NULL;
     }
@@ -236,9 +232,9 @@
     };
     argp_err_exit_status = BV_EXIT_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &arguments);
-    json_t *deployment = driver_load_json(arguments.deployment_path, NULL);
-    json_t *scenarios = driver_load_json(arguments.scenarios_path,
-                                         json_object_get(deployment, "words"));
+    json_t *deployment = bench_load_json(arguments.deployment_path, NULL);
+    json_t *scenarios = bench_load_json(arguments.scenarios_path,
+                                        json_object_get(deployment, "words"));
     if (deployment == NULL || scenarios == NULL) {
         return BV_EXIT_USAGE;
     }
