Membership: an answer from another member at the address proves nothing

Cause: its address had been given to another node. After a restart of all nodes each read the dead member's row from the table and probed it; the new member answered, and an answer was matched by its number only. Before the restart the same member was evicted, while nobody answered at its address.

An answer counts no longer if it comes from another member with the address of the probed one; the same holds for probes on behalf of others. The probe then fails, and the member can still refute the suspicion.

In the simulated cluster all members had one address, which now belongs to one member: each node has its own port.

--- a/core/membership_internal.h
+++ b/core/membership_internal.h
@@ -71,9 +71,10 @@
     bool is_indirect;
 } probe_t;
 
-/* A probe on behalf of another member, the origin. */
+/* A probe of the member `target` on behalf of another member, the origin. */
 typedef struct {
     char origin[BV_NAME_BYTES];
+    char target[BV_NAME_BYTES];
     uint64_t origin_sequence;
     uint64_t sequence;
 } relay_t;
--- a/core/membership_probe.c
+++ b/core/membership_probe.c
@@ -243,16 +243,35 @@
     relay_t *relay =
         &membership->relays[membership->next_relay++ % RELAYS_LIMIT];
     g_strlcpy(relay->origin, entry->member.name, BV_NAME_BYTES);
+    g_strlcpy(relay->target, target->member.name, BV_NAME_BYTES);
     relay->origin_sequence = packet->sequence;
     relay->sequence = ++membership->sequence;
     membership_send(membership, &target->member, BV_GOSSIP_PING,
                     relay->sequence, NULL);
 }
 
+/*
+ * Whether an answer comes from another member that has taken over the address
+ * of the probed one. It proves nothing about the probed member: rows of
+ * members that died without leaving would otherwise count as alive for good.
+ */
+static bool
+has_taken_address(const bv_membership_t *membership, const entry_t *sender,
+                  const char *probed)
+{
+    const entry_t *entry = g_hash_table_lookup(membership->entries, probed);
+    return entry != NULL && entry != sender &&
+           entry->member.gossip_port == sender->member.gossip_port &&
+           strcmp(entry->member.address, sender->member.address) == 0;
+}
+
 static void
-confirm_probe(bv_membership_t *membership)
+confirm_probe(bv_membership_t *membership, const entry_t *sender)
 {
     probe_t *probe = &membership->probe;
+    if (has_taken_address(membership, sender, probe->member)) {
+        return;
+    }
     const entry_t *entry =
         g_hash_table_lookup(membership->entries, probe->member);
     probe->sequence = 0;
@@ -262,14 +281,15 @@
 }
 
 static void
-handle_ack(bv_membership_t *membership, const bv_gossip_packet_t *packet)
+handle_ack(bv_membership_t *membership, const entry_t *sender,
+           const bv_gossip_packet_t *packet)
 {
-    probe_t *probe = &membership->probe;
+    const probe_t *probe = &membership->probe;
     if (packet->sequence == 0) {
         return;
     }
     if (packet->sequence == probe->sequence) {
-        confirm_probe(membership);
+        confirm_probe(membership, sender);
     }
     for (uint32_t i = 0; i < RELAYS_LIMIT; i++) {
         relay_t *relay = &membership->relays[i];
@@ -277,6 +297,9 @@
             continue;
         }
         relay->sequence = 0;
+        if (has_taken_address(membership, sender, relay->target)) {
+            continue;
+        }
         const entry_t *origin =
             g_hash_table_lookup(membership->entries, relay->origin);
         if (origin != NULL) {
@@ -309,7 +332,7 @@
                         packet->sequence, NULL);
         return;
     case BV_GOSSIP_ACK:
-        handle_ack(membership, packet);
+        handle_ack(membership, entry, packet);
         return;
     case BV_GOSSIP_PROBE_REQUEST:
         handle_probe_request(membership, entry, packet);
--- a/tests/member_cluster.c
+++ b/tests/member_cluster.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define TICKS_EACH_INTERVAL 4
+#define PEER_PORT 30000
+/* Each node has its own port, since an address belongs to one member. */
+#define GOSSIP_PORT_FIRST 30001
 #define DELAY_MIN_US 200
 #define DELAY_REGION_US 30000
 #define ROWS_PER_READ 3
@@ -44,8 +47,8 @@
                data_centre % options->regions);
     self->incarnation = node->incarnation;
     self->slots = 8;
-    self->peer_port = 30000;
-    self->gossip_port = 30001;
+    self->peer_port = PEER_PORT;
+    self->gossip_port = (uint16_t)(GOSSIP_PORT_FIRST + node->number);
 }
 
 static void
