Quotas: three lessors for each account in place of one

Callers were refused below their quota for six seconds after the death of the node that lent their account's permits: it was the only one, and members are evicted 4 to 6 s after they died. With 88 nodes the floor, an equal share of half of the allowed overage, is less than one request for each node, that is nothing.

A quota is divided into three equal parts, each with a bucket and a lessor of its own. A node asks one part, and the next one if that refuses or does not answer within 250 ms; a call is refused once all parts have refused it. Weighed: a second lessor that takes over after a shorter silence (both may lend at once unless the first proves that it has stopped, which needs agreement among nodes), shares of the rate that nodes keep while the lessor is silent (permits of nodes that no longer need them are missing for that time), faster eviction (more false ones).

--- a/core/quota_holder.c
+++ b/core/quota_holder.c
@@ -1,6 +1,7 @@
 #include "quota_holder_internal.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define TICK_US (10 * US_PER_MS)
 #define USE_PERIODS_PER_S 10
@@ -52,6 +53,16 @@
     holder->floor_members = members;
 }
 
+/* Spreads the nodes that use an account over the lessors of its parts. */
+static uint32_t
+first_part_of(const bv_quota_holder_t *holder, const char *name)
+{
+    const char *node = holder->options.name;
+    uint64_t hash = XXH3_64bits_withSeed(node, strlen(node),
+                                         XXH3_64bits(name, strlen(name)));
+    return (uint32_t)(hash % BV_QUOTA_PARTS);
+}
+
 void
 bv_quota_holder_set_limit(bv_quota_holder_t *holder, const char *name,
                           const bv_quota_limit_t *limit)
@@ -60,6 +71,7 @@
     if (account == NULL) {
         account = g_new0(account_t, 1);
         account->name = g_strdup(name);
+        account->first_part = first_part_of(holder, name);
         quota_stock_init(&account->stock);
         quota_floor_init(&account->floor);
         g_hash_table_insert(holder->accounts, account->name, account);
@@ -70,7 +82,7 @@
         quota_stock_discard(&account->stock);
     }
     if (memcmp(&account->limit, limit, sizeof(*limit)) != 0) {
-        account->refused_until_us = 0;
+        quota_holder_forget_refusals(account);
     }
     account->limit = *limit;
 }
@@ -154,7 +166,7 @@
             .refused = account->refused,
             .stock = quota_stock_count(&account->stock),
             .waiting = account->waiters.length,
-            .is_lessor_silent = account->is_silent,
+            .silent_lessors = quota_holder_count_silent(account),
         };
         if (usage.admitted > 0 || usage.refused > 0 || usage.waiting > 0) {
             visit(context, &usage);
--- a/core/quota_holder_charge.c
+++ b/core/quota_holder_charge.c
@@ -36,16 +36,10 @@
         }
         return BV_QUOTA_ADMITTED;
     }
-    if (now_us < account->refused_until_us) {
-        account->refused++;
-        *retry_us = account->refused_retry_us;
-        return BV_QUOTA_REFUSED;
-    }
-    if (!account->is_silent) {
+    if (quota_holder_choose_part(account, now_us) < BV_QUOTA_PARTS) {
         return BV_QUOTA_WAITING;
     }
-    if (now_us >= account->probe_due_us) {
-        account->probe_due_us = now_us + ANSWER_TIMEOUT_US;
+    if (quota_holder_count_silent(account) > 0) {
         quota_holder_mark_pending(holder, account);
     }
     if (quota_holder_take_from_floor(holder, account, now_us)) {
@@ -54,7 +48,7 @@
         return BV_QUOTA_ADMITTED;
     }
     account->refused++;
-    *retry_us = FLOOR_RETRY_US;
+    *retry_us = quota_holder_retry_us(account);
     return BV_QUOTA_REFUSED;
 }
 
@@ -72,8 +66,8 @@
     bv_quota_verdict_t verdict =
         charge_at_once(holder, account, now_us, permit, retry_us);
     if (verdict == BV_QUOTA_WAITING) {
-        g_queue_push_tail(&account->waiters,
-                          g_memdup2(&waiter, sizeof(waiter)));
+        waiter_t entry = {.call = waiter};
+        g_queue_push_tail(&account->waiters, g_memdup2(&entry, sizeof(entry)));
         quota_holder_mark_pending(holder, account);
     }
     return verdict;
@@ -90,7 +84,7 @@
     }
     for (GList *item = account->waiters.head; item != NULL;
          item = item->next, index++) {
-        if (*(uint64_t *)item->data != waiter) {
+        if (((const waiter_t *)item->data)->call != waiter) {
             continue;
         }
         g_free(item->data);
--- a/core/quota_holder_internal.h
+++ b/core/quota_holder_internal.h
@@ -11,9 +11,10 @@
  *
  *  - quota_holder.c: the accounts, their limits and use
  *  - quota_holder_charge.c: charges calls, and returns their permits
+ *  - quota_holder_parts.c: which part of a quota to ask
  *  - quota_holder_waiters.c: the calls that wait for a permit
  *  - quota_holder_requests.c: sends the requests to the lessors
- *  - quota_holder_replies.c: handles replies, timeouts and a silent lessor
+ *  - quota_holder_replies.c: handles replies, timeouts and silent lessors
  */
 
 #define US_PER_MS 1000
@@ -24,12 +25,13 @@
 #define USE_PERIOD_US (100 * US_PER_MS)
 /* The stock that a node aims at is the use in this part of a second. */
 #define STOCK_DIVISOR 5
-/* Retry time that is stated when the lessor does not answer. */
+/* Retry time that is stated when no lessor answers. */
 #define FLOOR_RETRY_US (1000 * US_PER_MS)
 
-/* A request to the lessor that may still be answered. */
+/* A request to a lessor that may still be answered. */
 typedef struct {
     uint64_t sequence;
+    uint32_t part;
     int64_t sent_us;
     /* Calls that wait for the answer, and permits wanted beyond. */
     uint32_t needed;
@@ -40,27 +42,38 @@
     bool has_timed_out;
 } open_request_t;
 
+/* A part of an account's quota, as far as its lessor has answered. */
+typedef struct {
+    /* The lessor does not answer; it is probed from `probe_due_us` on. */
+    bool is_silent;
+    int64_t probe_due_us;
+    int64_t refused_until_us;
+    int64_t refused_retry_us;
+} part_t;
+
+/* A call that waits for a permit. */
+typedef struct {
+    uint64_t call;
+    /* Parts that have refused a permit for the call. */
+    uint32_t refusals;
+} waiter_t;
+
 /* An account with a limit at this node. */
 typedef struct {
     char *name;
     bv_quota_limit_t limit;
     quota_stock_t stock;
-    /* Of uint64_t, in order of arrival; the first `waiters_requested` are in
+    part_t parts[BV_QUOTA_PARTS];
+    /* Part that is asked first; it differs between the nodes. */
+    uint32_t first_part;
+    /* Of waiter_t, in order of arrival; the first `waiters_requested` are in
      * requests. */
     GQueue waiters;
     uint32_t waiters_requested;
     /* Of open_request_t, in order of sending. */
     GQueue open_requests;
     uint32_t extra_requested;
-    /* Time from which a failing request proves the lessor silent; 0: none. */
-    int64_t failed_us;
-    /* Nothing is sent before. */
-    int64_t hold_until_us;
-    bool is_silent;
-    int64_t probe_due_us;
     int64_t last_refused_us;
-    int64_t refused_until_us;
-    int64_t refused_retry_us;
     quota_floor_t floor;
     /* Admitted in this period, and average per second. */
     uint32_t used;
@@ -93,7 +106,30 @@
 /* Whether so little is in stock that permits should be requested ahead. */
 bool quota_holder_is_stock_low(const account_t *account, int64_t now_us);
 
-/* Takes one request out of the floor; false if the floor admits no more. */
+/*
+ * Returns the part to ask for a permit: the one whose last refusal is the
+ * oldest, so that a call that is refused asks each part once. BV_QUOTA_PARTS
+ * if each one has refused recently or has a silent lessor.
+ */
+uint32_t quota_holder_choose_part(const account_t *account, int64_t now_us);
+
+/* Number of parts whose lessor does not answer. */
+uint32_t quota_holder_count_silent(const account_t *account);
+
+/* Time to state to a caller while no part can be asked. */
+int64_t quota_holder_retry_us(const account_t *account);
+
+/* Marks a part as one whose lessor does not answer, to be probed from then. */
+void quota_holder_silence_part(account_t *account, uint32_t index,
+                               int64_t probe_due_us);
+
+/* Ends the times for which refusals stand. */
+void quota_holder_forget_refusals(account_t *account);
+
+/*
+ * Takes one request out of the floor. False while a lessor answers, and if the
+ * floor admits no more.
+ */
 bool quota_holder_take_from_floor(const bv_quota_holder_t *holder,
                                   account_t *account, int64_t now_us);
 
@@ -113,10 +149,10 @@
 /* Takes one call out of the oldest request that calls wait for. */
 void quota_holder_reduce_requested(account_t *account);
 
-/* Makes all open requests requests that no call waits for. */
-void quota_holder_release_requested(account_t *account);
-
-/* Ends all waits of an account: from the floor, or by a refusal. */
+/*
+ * Ends the waits of the calls that are in no request, as no part can be asked:
+ * from the floor, or by a refusal.
+ */
 void quota_holder_end_waits(bv_quota_holder_t *holder, account_t *account,
                             int64_t now_us);
 
--- a/core/quota_holder_replies.c
+++ b/core/quota_holder_replies.c
@@ -11,45 +11,25 @@
  */
 #define REFUSAL_LEAST_US (10 * US_PER_MS)
 
-static void
-become_silent(bv_quota_holder_t *holder, account_t *account, int64_t now_us)
-{
-    account->is_silent = true;
-    account->failed_us = 0;
-    account->probe_due_us = now_us;
-    quota_holder_end_waits(holder, account, now_us);
-}
-
 /*
- * A request was not answered in time, or by a node that is not the lessor. The
- * first time, the request is repeated from `repeat_us` on. If a later request
- * fails too, the floor applies.
+ * A request was not answered in time, or by a node that is not the lessor: the
+ * other parts are asked until a probe is answered.
  */
 static void
-handle_failure(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
-               int64_t sent_us, int64_t repeat_us)
+handle_failure(bv_quota_holder_t *holder, account_t *account, uint32_t part,
+               int64_t now_us)
 {
-    if (account->is_silent) {
-        return;
-    }
-    if (account->failed_us == 0) {
-        account->failed_us = repeat_us;
-        account->hold_until_us = repeat_us;
-        quota_holder_release_requested(account);
-        quota_holder_mark_pending(holder, account);
-    }
-    else if (sent_us >= account->failed_us) {
-        become_silent(holder, account, now_us);
-    }
+    quota_holder_silence_part(account, part, now_us);
+    quota_holder_mark_pending(holder, account);
 }
 
 static open_request_t *
-remove_open_request(account_t *account, uint64_t sequence)
+remove_open_request(account_t *account, uint64_t sequence, uint32_t part)
 {
     for (GList *item = account->open_requests.head; item != NULL;
          item = item->next) {
         open_request_t *request = item->data;
-        if (request->sequence == sequence) {
+        if (request->sequence == sequence && request->part == part) {
             g_queue_delete_link(&account->open_requests, item);
             account->waiters_requested -= request->needed;
             account->extra_requested -= request->extra;
@@ -77,26 +57,51 @@
     }
 }
 
+static bool
+is_refused_by_all(const account_t *account)
+{
+    const GList *first = account->waiters.head;
+    return first != NULL &&
+           ((const waiter_t *)first->data)->refusals >= BV_QUOTA_PARTS;
+}
+
+/*
+ * Counts a refusal for the first `count` calls. Those that all parts have
+ * refused are refused; the others wait for another part.
+ */
+static void
+count_refusals(const bv_quota_holder_t *holder, account_t *account,
+               uint32_t count)
+{
+    const GList *item = account->waiters.head;
+    for (uint32_t i = 0; i < count && item != NULL; i++) {
+        ((waiter_t *)item->data)->refusals++;
+        item = item->next;
+    }
+    while (is_refused_by_all(account)) {
+        quota_holder_refuse_first(holder, account,
+                                  quota_holder_retry_us(account));
+    }
+}
+
 static void
-handle_refused(const bv_quota_holder_t *holder, account_t *account,
-               int64_t now_us, uint32_t count, const bv_quota_reply_t *reply)
+handle_refused(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
+               uint32_t count, const bv_quota_reply_t *reply)
 {
+    part_t *part = &account->parts[reply->part];
     account->last_refused_us = now_us;
-    account->refused_until_us =
+    part->refused_until_us =
         now_us + CLAMP(reply->wait_us, REFUSAL_LEAST_US, REFUSAL_LIMIT_US);
-    account->refused_retry_us = reply->retry_us;
-    for (uint32_t i = 0; i < count && account->waiters.length > 0; i++) {
-        quota_holder_refuse_first(holder, account, reply->retry_us);
-    }
+    part->refused_retry_us = reply->retry_us;
+    count_refusals(holder, account, count);
+    quota_holder_mark_pending(holder, account);
 }
 
 static void
-handle_granted(const bv_quota_holder_t *holder, account_t *account,
-               int64_t now_us, const open_request_t *request,
-               const bv_quota_reply_t *reply)
+handle_granted(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
+               const open_request_t *request, const bv_quota_reply_t *reply)
 {
-    account->is_silent = false;
-    account->failed_us = 0;
+    account->parts[request->part].is_silent = false;
     uint32_t granted = MIN(reply->granted, request->wanted);
     if (granted < request->wanted) {
         account->prefetch_due_us = now_us + USE_PERIOD_US;
@@ -114,7 +119,8 @@
 {
     account_t *account = g_hash_table_lookup(holder->accounts, reply->account);
     open_request_t *request =
-        account != NULL ? remove_open_request(account, sequence) : NULL;
+        account != NULL ? remove_open_request(account, sequence, reply->part)
+                        : NULL;
     if (request == NULL) {
         return false;
     }
@@ -123,8 +129,7 @@
         handle_granted(holder, account, now_us, request, reply);
     }
     else if (!request->has_timed_out) {
-        handle_failure(holder, account, now_us, request->sent_us,
-                       MAX(request->sent_us + ANSWER_TIMEOUT_US, now_us));
+        handle_failure(holder, account, request->part, now_us);
     }
     quota_holder_check_requested(account);
     g_free(request);
@@ -142,10 +147,13 @@
         int64_t age_us = now_us - request->sent_us;
         if (age_us >= ANSWER_TIMEOUT_US && !request->has_timed_out) {
             request->has_timed_out = true;
-            handle_failure(holder, account, now_us, request->sent_us, now_us);
+            account->waiters_requested -= request->needed;
+            request->needed = 0;
+            handle_failure(holder, account, request->part, now_us);
         }
         if (age_us >= BV_QUOTA_PERMIT_LIFETIME_US) {
-            g_free(remove_open_request(account, request->sequence));
+            g_free(remove_open_request(account, request->sequence,
+                                       request->part));
         }
         item = next;
     }
--- a/core/quota_holder_requests.c
+++ b/core/quota_holder_requests.c
@@ -13,6 +13,7 @@
     char lessor[BV_NAME_BYTES];
     uint64_t incarnation;
     account_t *account;
+    uint32_t part;
     uint32_t needed;
     uint32_t extra;
 } entry_t;
@@ -33,9 +34,6 @@
     if (strcmp(lessor, holder->options.name) == 0) {
         return 0;
     }
-    if (account->is_silent) {
-        return 1;
-    }
     uint32_t target = (uint32_t)(account->use_per_s / STOCK_DIVISOR);
     uint32_t expected =
         quota_stock_count(&account->stock) + account->extra_requested;
@@ -44,22 +42,6 @@
                : 0;
 }
 
-/*
- * Without a repetition a failure proves nothing; the next one counts as the
- * first.
- */
-static void
-forget_failure(account_t *account)
-{
-    for (GList *item = account->open_requests.head; item != NULL;
-         item = item->next) {
-        if (!((open_request_t *)item->data)->has_timed_out) {
-            return;
-        }
-    }
-    account->failed_us = 0;
-}
-
 /* Whether the calls that wait must share the next request. */
 static bool
 must_share(const account_t *account, int64_t now_us)
@@ -68,28 +50,79 @@
            now_us - account->last_refused_us < SHARED_REQUEST_US;
 }
 
-/* Returns false if the account has nothing to send now. */
+/* Stores the lessor of a part. Returns false if there is none. */
 static bool
-build_entry(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
+find_lessor(const bv_quota_holder_t *holder, account_t *account, uint32_t part,
             entry_t *entry)
 {
     const bv_quota_holder_options_t *options = &holder->options;
     const char *lessor = options->ops->lessor(options->context, account->name,
-                                              &entry->incarnation);
+                                              part, &entry->incarnation);
     if (lessor == NULL) {
-        quota_holder_end_waits(holder, account, now_us);
         return false;
     }
-    quota_stock_drop_expired(&account->stock, now_us);
-    quota_holder_check_requested(account);
-    uint32_t needed = account->waiters.length - account->waiters_requested;
-    uint32_t extra = count_extra(holder, account, now_us, lessor);
-    bool is_probe = account->is_silent;
     g_strlcpy(entry->lessor, lessor, BV_NAME_BYTES);
     entry->account = account;
-    entry->needed = MIN(needed, BV_QUOTA_PERMITS_LIMIT / 2);
-    entry->extra = MIN(extra, BV_QUOTA_PERMITS_LIMIT / 2);
-    return needed > 0 || extra > 0 || is_probe;
+    entry->part = part;
+    return true;
+}
+
+/*
+ * Chooses the part to ask, and stores its lessor; a part without a lessor
+ * counts as silent. Returns false if no part can be asked.
+ */
+static bool
+choose_lessor(const bv_quota_holder_t *holder, account_t *account,
+              int64_t now_us, entry_t *entry)
+{
+    uint32_t part;
+    while ((part = quota_holder_choose_part(account, now_us)) <
+           BV_QUOTA_PARTS) {
+        if (find_lessor(holder, account, part, entry)) {
+            return true;
+        }
+        quota_holder_silence_part(account, part, now_us + ANSWER_TIMEOUT_US);
+    }
+    return false;
+}
+
+/* Adds the request for the calls that wait and for the stock. */
+static void
+add_request(bv_quota_holder_t *holder, account_t *account, int64_t now_us,
+            GArray *entries)
+{
+    entry_t entry;
+    quota_holder_check_requested(account);
+    if (!choose_lessor(holder, account, now_us, &entry)) {
+        quota_holder_end_waits(holder, account, now_us);
+        return;
+    }
+    quota_stock_drop_expired(&account->stock, now_us);
+    uint32_t needed = account->waiters.length - account->waiters_requested;
+    uint32_t extra = count_extra(holder, account, now_us, entry.lessor);
+    entry.needed = MIN(needed, BV_QUOTA_PERMITS_LIMIT / 2);
+    entry.extra = MIN(extra, BV_QUOTA_PERMITS_LIMIT / 2);
+    if (needed > 0 || extra > 0) {
+        g_array_append_val(entries, entry);
+    }
+}
+
+/* Adds a request for one permit to each silent lessor that is due. */
+static void
+add_probes(const bv_quota_holder_t *holder, account_t *account, int64_t now_us,
+           GArray *entries)
+{
+    for (uint32_t i = 0; i < BV_QUOTA_PARTS; i++) {
+        part_t *part = &account->parts[i];
+        entry_t entry = {.extra = 1};
+        if (!part->is_silent || now_us < part->probe_due_us) {
+            continue;
+        }
+        part->probe_due_us = now_us + ANSWER_TIMEOUT_US;
+        if (find_lessor(holder, account, i, &entry)) {
+            g_array_append_val(entries, entry);
+        }
+    }
 }
 
 static gint
@@ -107,16 +140,13 @@
     holder->pending = g_ptr_array_new();
     for (guint i = 0; i < pending->len; i++) {
         account_t *account = pending->pdata[i];
-        entry_t entry;
         account->is_pending = false;
-        if (now_us < account->hold_until_us || must_share(account, now_us)) {
+        add_probes(holder, account, now_us, entries);
+        if (must_share(account, now_us)) {
             quota_holder_mark_pending(holder, account);
         }
-        else if (build_entry(holder, account, now_us, &entry)) {
-            g_array_append_val(entries, entry);
-        }
         else {
-            forget_failure(account);
+            add_request(holder, account, now_us, entries);
         }
     }
     g_ptr_array_unref(pending);
@@ -130,6 +160,7 @@
     account_t *account = entry->account;
     open_request_t *request = g_new0(open_request_t, 1);
     request->sequence = sequence;
+    request->part = entry->part;
     request->sent_us = now_us;
     request->needed = entry->needed;
     request->extra = entry->extra;
@@ -158,6 +189,7 @@
         add_open_request(entry, sequence, now_us);
         requests[count++] = (bv_quota_request_t){
             .account = entry->account->name,
+            .part = entry->part,
             .needed = entry->needed,
             .wanted = entry->needed + entry->extra,
         };
--- a/core/quota_holder_waiters.c
+++ b/core/quota_holder_waiters.c
@@ -6,7 +6,8 @@
 quota_holder_take_from_floor(const bv_quota_holder_t *holder,
                              account_t *account, int64_t now_us)
 {
-    return quota_floor_take(&account->floor, now_us, &account->limit,
+    return quota_holder_count_silent(account) == BV_QUOTA_PARTS &&
+           quota_floor_take(&account->floor, now_us, &account->limit,
                             &holder->bounds, holder->floor_members);
 }
 
@@ -22,10 +23,10 @@
 static uint64_t
 pop_waiter(account_t *account)
 {
-    uint64_t *head = g_queue_pop_head(&account->waiters);
-    uint64_t waiter = *head;
+    waiter_t *head = g_queue_pop_head(&account->waiters);
+    uint64_t call = head->call;
     g_free(head);
-    return waiter;
+    return call;
 }
 
 void
@@ -60,28 +61,18 @@
     holder->options.ops->refused(holder->options.context, waiter, retry_us);
 }
 
-void
-quota_holder_release_requested(account_t *account)
-{
-    for (GList *item = account->open_requests.head; item != NULL;
-         item = item->next) {
-        ((open_request_t *)item->data)->needed = 0;
-    }
-    account->waiters_requested = 0;
-}
-
 void
 quota_holder_end_waits(bv_quota_holder_t *holder, account_t *account,
                        int64_t now_us)
 {
-    quota_holder_release_requested(account);
-    while (account->waiters.length > 0) {
+    while (account->waiters.length > account->waiters_requested) {
         if (quota_holder_take_from_floor(holder, account, now_us)) {
             bv_quota_permit_t permit = {BV_QUOTA_FROM_FLOOR, 0};
             quota_holder_admit_first(holder, account, &permit);
         }
         else {
-            quota_holder_refuse_first(holder, account, FLOOR_RETRY_US);
+            quota_holder_refuse_first(holder, account,
+                                      quota_holder_retry_us(account));
         }
     }
 }
--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -15,11 +15,8 @@
 /* Part of a second whose arrivals a bucket holds at least. */
 #define LEAST_CAPACITY_DIVISOR 20
 
+/* Token bucket of one part of an account's quota. */
 typedef struct {
-    char *name;
-    bv_quota_limit_t limit;
-    /* Time from which the limit is known. */
-    int64_t known_us;
     bool is_in_use;
     double permits;
     int64_t filled_us;
@@ -28,6 +25,14 @@
     double backlog;
     uint64_t granted;
     uint64_t refused;
+} bucket_t;
+
+typedef struct {
+    char *name;
+    bv_quota_limit_t limit;
+    /* Time from which the limit is known. */
+    int64_t known_us;
+    bucket_t parts[BV_QUOTA_PARTS];
 } account_t;
 
 struct bv_quota_lessor {
@@ -91,10 +96,10 @@
     g_hash_table_iter_init(&iterator, lessor->accounts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         account_t *account = value;
-        if (account->is_in_use) {
-            account->is_in_use = false;
-            account->known_us = now_us;
+        for (uint32_t part = 0; part < BV_QUOTA_PARTS; part++) {
+            account->parts[part].is_in_use = false;
         }
+        account->known_us = now_us;
     }
 }
 
@@ -114,63 +119,78 @@
     return OVERAGE_SHARE * bv_quota_overage(limit, &lessor->bounds);
 }
 
+/* Permits that the bucket of a part holds at most. */
 static double
 capacity_of(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
 {
-    double least = MAX(1, (double)limit->rate_per_s / LEAST_CAPACITY_DIVISOR);
-    if (lessor->bounds.window_us == 0) {
-        return MAX(limit->burst, least);
+    double capacity =
+        MAX(limit->burst, (double)limit->rate_per_s / LEAST_CAPACITY_DIVISOR);
+    if (lessor->bounds.window_us > 0) {
+        capacity += overage_share(lessor, limit);
     }
-    return MAX(limit->burst, least) + overage_share(lessor, limit);
+    return MAX(1, capacity / BV_QUOTA_PARTS);
 }
 
 /*
- * Returns the permits that a bucket gains in a second. With bounds, an account
- * may use its burst in each window.
+ * Returns the permits that the bucket of a part gains in a second. With
+ * bounds, an account may use its burst in each window.
  */
 static double
 gain_per_s(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
 {
     const bv_quota_bounds_t *bounds = &lessor->bounds;
     if (bounds->window_us == 0) {
-        return limit->rate_per_s;
+        return (double)limit->rate_per_s / BV_QUOTA_PARTS;
     }
-    return bv_quota_in_window(limit, bounds) * US_PER_S /
+    return bv_quota_in_window(limit, bounds) / BV_QUOTA_PARTS * US_PER_S /
            (double)bounds->window_us;
 }
 
-/* Returns how many permits may still be lent in this window. */
+/* Returns how many permits of a part may still be lent in this window. */
 static double
-window_room(const bv_quota_lessor_t *lessor, account_t *account,
-            int64_t now_us)
+window_room(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit,
+            bucket_t *bucket, int64_t now_us)
 {
     if (lessor->bounds.window_us == 0) {
         return G_MAXUINT32;
     }
-    return bv_quota_in_window(&account->limit, &lessor->bounds) +
-           overage_share(lessor, &account->limit) -
-           (double)bv_quota_window_count(&account->lent, now_us);
+    double most = bv_quota_in_window(limit, &lessor->bounds) +
+                  overage_share(lessor, limit);
+    return most / BV_QUOTA_PARTS -
+           (double)bv_quota_window_count(&bucket->lent, now_us);
 }
 
 static void
-fill(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us)
+fill(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit,
+     bucket_t *bucket, int64_t now_us)
 {
-    if (now_us <= account->filled_us) {
+    if (now_us <= bucket->filled_us) {
         return;
     }
-    double gained = (double)(now_us - account->filled_us) *
-                    gain_per_s(lessor, &account->limit) / US_PER_S;
-    account->permits =
-        MIN(account->permits + gained, capacity_of(lessor, &account->limit));
+    double gained = (double)(now_us - bucket->filled_us) *
+                    gain_per_s(lessor, limit) / US_PER_S;
+    bucket->permits =
+        MIN(bucket->permits + gained, capacity_of(lessor, limit));
     /*
      * Permits used after a delay fall into one window with those of the next
      * burst: a bucket that filled while the window is used up would lend a
      * second burst as soon as the first one leaves the window.
      */
-    account->permits =
-        MIN(account->permits, MAX(window_room(lessor, account, now_us), 0));
-    account->backlog = MAX(account->backlog - gained, 0);
-    account->filled_us = now_us;
+    bucket->permits = MIN(bucket->permits,
+                          MAX(window_room(lessor, limit, bucket, now_us), 0));
+    bucket->backlog = MAX(bucket->backlog - gained, 0);
+    bucket->filled_us = now_us;
+}
+
+static void
+change_limit(const bv_quota_lessor_t *lessor, account_t *account,
+             uint32_t part, int64_t now_us, const bv_quota_limit_t *limit)
+{
+    bucket_t *bucket = &account->parts[part];
+    if (bucket->is_in_use) {
+        fill(lessor, &account->limit, bucket, now_us);
+        bucket->permits = MIN(bucket->permits, capacity_of(lessor, limit));
+    }
 }
 
 void
@@ -189,14 +209,11 @@
     if (memcmp(&account->limit, limit, sizeof(*limit)) == 0) {
         return;
     }
-    if (account->is_in_use) {
-        fill(lessor, account, now_us);
-    }
-    else {
-        account->known_us = now_us;
+    for (uint32_t part = 0; part < BV_QUOTA_PARTS; part++) {
+        change_limit(lessor, account, part, now_us, limit);
     }
+    account->known_us = now_us;
     account->limit = *limit;
-    account->permits = MIN(account->permits, capacity_of(lessor, limit));
 }
 
 void
@@ -216,7 +233,8 @@
 
 void
 bv_quota_lessor_forget(bv_quota_lessor_t *lessor,
-                       bool (*is_lessor)(void *context, const char *account),
+                       bool (*is_lessor)(void *context, const char *account,
+                                         uint32_t part),
                        void *context)
 {
     GHashTableIter iterator;
@@ -224,55 +242,60 @@
     g_hash_table_iter_init(&iterator, lessor->accounts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         account_t *account = value;
-        if (account->is_in_use && !is_lessor(context, account->name)) {
-            account->is_in_use = false;
+        for (uint32_t part = 0; part < BV_QUOTA_PARTS; part++) {
+            bucket_t *bucket = &account->parts[part];
+            bucket->is_in_use =
+                bucket->is_in_use && is_lessor(context, account->name, part);
         }
     }
 }
 
 static void
-take_into_use(const bv_quota_lessor_t *lessor, account_t *account,
+take_into_use(const bv_quota_lessor_t *lessor, bucket_t *bucket,
               int64_t since_us)
 {
-    bv_quota_window_init(&account->lent, lessor->bounds.window_us);
-    account->is_in_use = true;
-    account->permits = 0;
-    account->backlog = 0;
-    account->filled_us = MAX(since_us, account->known_us);
+    bv_quota_window_init(&bucket->lent, lessor->bounds.window_us);
+    bucket->is_in_use = true;
+    bucket->permits = 0;
+    bucket->backlog = 0;
+    bucket->filled_us = since_us;
 }
 
 static uint32_t
-take(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us,
-     const bv_quota_request_t *request)
+take(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit,
+     bucket_t *bucket, int64_t now_us, const bv_quota_request_t *request)
 {
-    double surplus =
-        account->permits - capacity_of(lessor, &account->limit) / 2;
-    double lendable = MIN(account->permits, request->needed);
+    double surplus = bucket->permits - capacity_of(lessor, limit) / 2;
+    double lendable = MIN(bucket->permits, request->needed);
     lendable = MAX(lendable, MIN(surplus, request->wanted));
-    lendable = MIN(lendable, window_room(lessor, account, now_us));
+    lendable = MIN(lendable, window_room(lessor, limit, bucket, now_us));
     uint32_t granted = (uint32_t)MAX(lendable, 0);
-    account->permits -= granted;
+    bucket->permits -= granted;
     if (granted > 0) {
-        bv_quota_window_add(&account->lent, now_us, granted);
+        bv_quota_window_add(&bucket->lent, now_us, granted);
     }
     return granted;
 }
 
 static void
-refuse(const bv_quota_lessor_t *lessor, account_t *account, int64_t now_us,
-       uint32_t count, bv_quota_reply_t *reply)
+refuse(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit,
+       bucket_t *bucket, int64_t now_us, uint32_t count,
+       bv_quota_reply_t *reply)
 {
-    double rate = gain_per_s(lessor, &account->limit);
-    account->refused += count;
-    /* Bounded, so that the stated delay falls soon after an overload. */
-    account->backlog = MIN(account->backlog + count,
-                           rate * BV_QUOTA_WAIT_LIMIT_US / US_PER_S);
-    double wait_us = MAX(1 - account->permits, 0) / rate * US_PER_S;
-    if (window_room(lessor, account, now_us) < 1) {
+    double rate = gain_per_s(lessor, limit);
+    bucket->refused += count;
+    /*
+     * A call is refused once all parts have refused it, so that each counts a
+     * share. Bounded, so that the stated delay falls soon after an overload.
+     */
+    bucket->backlog = MIN(bucket->backlog + (double)count / BV_QUOTA_PARTS,
+                          rate * BV_QUOTA_WAIT_LIMIT_US / US_PER_S);
+    double wait_us = MAX(1 - bucket->permits, 0) / rate * US_PER_S;
+    if (window_room(lessor, limit, bucket, now_us) < 1) {
         wait_us = MAX(wait_us,
-                      (double)bv_quota_window_wait_us(&account->lent, now_us));
+                      (double)bv_quota_window_wait_us(&bucket->lent, now_us));
     }
-    double retry_us = wait_us + account->backlog / rate * US_PER_S;
+    double retry_us = wait_us + bucket->backlog / rate * US_PER_S;
     reply->wait_us = (int64_t)MIN(wait_us, BV_QUOTA_WAIT_LIMIT_US);
     reply->retry_us = (int64_t)MIN(retry_us, BV_QUOTA_WAIT_LIMIT_US);
 }
@@ -283,11 +306,12 @@
 {
     bv_quota_reply_t reply = {
         .account = request->account,
+        .part = request->part,
         .status = BV_QUOTA_NOT_LESSOR,
     };
     account_t *account =
         g_hash_table_lookup(lessor->accounts, request->account);
-    if (account == NULL) {
+    if (account == NULL || request->part >= BV_QUOTA_PARTS) {
         return reply;
     }
     reply.status = BV_QUOTA_GRANTED;
@@ -295,19 +319,42 @@
         reply.granted = request->wanted;
         return reply;
     }
-    if (!account->is_in_use) {
-        take_into_use(lessor, account, since_us);
+    const bv_quota_limit_t *limit = &account->limit;
+    bucket_t *bucket = &account->parts[request->part];
+    if (!bucket->is_in_use) {
+        take_into_use(lessor, bucket, MAX(since_us, account->known_us));
     }
-    fill(lessor, account, now_us);
-    reply.granted = take(lessor, account, now_us, request);
-    account->granted += reply.granted;
+    fill(lessor, limit, bucket, now_us);
+    reply.granted = take(lessor, limit, bucket, now_us, request);
+    bucket->granted += reply.granted;
     if (reply.granted < request->needed) {
-        refuse(lessor, account, now_us, request->needed - reply.granted,
+        refuse(lessor, limit, bucket, now_us, request->needed - reply.granted,
                &reply);
     }
     return reply;
 }
 
+static void
+visit_buckets(const account_t *account,
+              void (*visit)(void *context, const bv_quota_bucket_t *bucket),
+              void *context)
+{
+    for (uint32_t part = 0; part < BV_QUOTA_PARTS; part++) {
+        const bucket_t *bucket = &account->parts[part];
+        bv_quota_bucket_t shown = {
+            .account = account->name,
+            .part = part,
+            .limit = account->limit,
+            .granted = bucket->granted,
+            .refused = bucket->refused,
+            .permits = bucket->permits,
+        };
+        if (bucket->is_in_use) {
+            visit(context, &shown);
+        }
+    }
+}
+
 void
 bv_quota_lessor_foreach(const bv_quota_lessor_t *lessor,
                         void (*visit)(void *context,
@@ -318,16 +365,6 @@
     gpointer value;
     g_hash_table_iter_init(&iterator, lessor->accounts);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const account_t *account = value;
-        bv_quota_bucket_t bucket = {
-            .account = account->name,
-            .limit = account->limit,
-            .granted = account->granted,
-            .refused = account->refused,
-            .permits = account->permits,
-        };
-        if (account->is_in_use) {
-            visit(context, &bucket);
-        }
+        visit_buckets(value, visit, context);
     }
 }
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -286,11 +286,14 @@
     return has_changed;
 }
 
-/* Mixes the hashes of an account and a member (finalizer of MurmurHash3). */
+/*
+ * Mixes the hashes of a part of an account and of a member (finalizer of
+ * MurmurHash3).
+ */
 static uint64_t
-score_of(uint64_t account_hash, uint64_t member_hash)
+score_of(uint64_t part_hash, uint64_t member_hash)
 {
-    uint64_t value = account_hash ^ member_hash;
+    uint64_t value = part_hash ^ member_hash;
     value = (value ^ (value >> 33)) * UINT64_C(0xff51afd7ed558ccd);
     value = (value ^ (value >> 33)) * UINT64_C(0xc4ceb9fe1a85ec53);
     return value ^ (value >> 33);
@@ -298,9 +301,9 @@
 
 const char *
 bv_quota_members_lessor(const bv_quota_members_t *members, const char *account,
-                        uint64_t *incarnation)
+                        uint32_t part, uint64_t *incarnation)
 {
-    uint64_t account_hash = hash_of(account);
+    uint64_t part_hash = XXH3_64bits_withSeed(account, strlen(account), part);
     uint64_t best_score = 0;
     const candidate_t *best = NULL;
     for (guint i = 0; i < members->candidates->len; i++) {
@@ -308,7 +311,7 @@
         if (!candidate->is_settled) {
             continue;
         }
-        uint64_t score = score_of(account_hash, candidate->hash);
+        uint64_t score = score_of(part_hash, candidate->hash);
         if (best == NULL || score > best_score) {
             best = candidate;
             best_score = score;
@@ -323,11 +326,11 @@
 
 bool
 bv_quota_members_is_lessor(const bv_quota_members_t *members,
-                           const char *account)
+                           const char *account, uint32_t part)
 {
     uint64_t incarnation;
     const char *lessor =
-        bv_quota_members_lessor(members, account, &incarnation);
+        bv_quota_members_lessor(members, account, part, &incarnation);
     return lessor == self_of(members)->name;
 }
 
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -214,17 +214,20 @@
     json_int_t from_floor;
     json_int_t refused;
     json_int_t stock;
-    int is_silent;
-    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:b}",
+    json_int_t silent;
+    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:I}",
                     "account", &account, "admitted", &admitted,
                     "admitted_from_floor", &from_floor, "refused", &refused,
-                    "stock", &stock, "lessor_silent", &is_silent) == 0) {
+                    "stock", &stock, "silent_lessors", &silent) == 0) {
         printf("account %-16s %" JSON_INTEGER_FORMAT
                " admitted (%" JSON_INTEGER_FORMAT
                " from the floor), %" JSON_INTEGER_FORMAT
-               " refused, %" JSON_INTEGER_FORMAT " in stock%s\n",
-               account, admitted, from_floor, refused, stock,
-               is_silent ? ", LESSOR SILENT" : "");
+               " refused, %" JSON_INTEGER_FORMAT " in stock",
+               account, admitted, from_floor, refused, stock);
+        if (silent > 0) {
+            printf(", LESSORS SILENT: %" JSON_INTEGER_FORMAT, silent);
+        }
+        printf("\n");
     }
 }
 
@@ -232,20 +235,22 @@
 print_lent_quota(const json_t *entry)
 {
     const char *account;
+    json_int_t part;
     json_int_t rate;
     json_int_t burst;
     json_int_t granted;
     json_int_t refused;
     json_int_t permits;
-    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:I}",
-                    "account", &account, "rate_per_s", &rate, "burst", &burst,
-                    "granted", &granted, "refused", &refused, "permits",
-                    &permits) == 0) {
-        printf("lends   %-16s %" JSON_INTEGER_FORMAT
+    if (json_unpack((json_t *)entry, "{s:s, s:I, s:I, s:I, s:I, s:I, s:I}",
+                    "account", &account, "part", &part, "rate_per_s", &rate,
+                    "burst", &burst, "granted", &granted, "refused", &refused,
+                    "permits", &permits) == 0) {
+        printf("lends   %-16s part %" JSON_INTEGER_FORMAT
+               " of %" JSON_INTEGER_FORMAT
                " a second, burst %" JSON_INTEGER_FORMAT
                ": %" JSON_INTEGER_FORMAT " lent, %" JSON_INTEGER_FORMAT
                " refused, %" JSON_INTEGER_FORMAT " in the bucket\n",
-               account, rate, burst, granted, refused, permits);
+               account, part, rate, burst, granted, refused, permits);
     }
 }
 
--- a/include/berylvane/core/quota.h
+++ b/include/berylvane/core/quota.h
@@ -7,11 +7,18 @@
  * quota - types that the lessor and the holder of permits share
  *
  * An account may have a limit on its requests over all nodes together. Each
- * admitted request uses one permit. One node, the account's lessor, lends
- * permits from a token bucket; the others hold what they were lent for a short
- * time. All times are of a clock that counts suspension (CLOCK_BOOTTIME).
+ * admitted request uses one permit. The quota is divided into equal parts.
+ * Each part has one node that lends its permits from a token bucket, the
+ * lessor; the others hold what they were lent for a short time. All times are
+ * of a clock that counts suspension (CLOCK_BOOTTIME).
  */
 
+/*
+ * Parts of a quota. While a lessor that has died is not yet evicted, the other
+ * two parts are two thirds of the quota.
+ */
+#define BV_QUOTA_PARTS 3
+
 /* Accounts in one message between nodes. */
 #define BV_QUOTA_ENTRIES_LIMIT 64
 #define BV_QUOTA_NAME_LIMIT_BYTES 200
@@ -44,9 +51,11 @@
 double bv_quota_overage(const bv_quota_limit_t *limit,
                         const bv_quota_bounds_t *bounds);
 
-/* What a holder asks for one account. */
+/* What a holder asks for one part of an account's quota. */
 typedef struct {
     const char *account;
+    /* Part of the quota, below BV_QUOTA_PARTS. */
+    uint32_t part;
     /* Permits for calls that wait. */
     uint32_t needed;
     /* Permits that the holder can use; at least `needed`. */
@@ -62,6 +71,7 @@
 
 typedef struct {
     const char *account;
+    uint32_t part;
     bv_quota_status_t status;
     uint32_t granted;
     /*
--- a/include/berylvane/core/quota_holder.h
+++ b/include/berylvane/core/quota_holder.h
@@ -7,10 +7,11 @@
  * quota_holder - permits that a node was lent, and the calls that wait for one
  *
  * A call of an account with a limit uses one permit. Without a permit in stock
- * the call waits while the node asks the account's lessor. Handles a lessor
- * that does not answer: after one repetition the node admits calls from its
- * floor, an equal share of half of the allowed overage, and refuses the
- * others. No timeout creates permits.
+ * the call waits while the node asks the lessors of the account's parts, one
+ * after the other, until one grants it or all have refused. Handles lessors
+ * that do not answer: the others are asked; once none answers, the node admits
+ * calls from its floor, an equal share of half of the allowed overage, and
+ * refuses the others. No timeout creates permits.
  */
 
 /* Time from the request of a permit to its expiry. */
@@ -40,10 +41,10 @@
 
 typedef struct {
     /*
-     * Returns the name of the account's lessor and stores its incarnation;
-     * NULL if there is none.
+     * Returns the name of the lessor of a part of the account's quota and
+     * stores its incarnation; NULL if there is none.
      */
-    const char *(*lessor)(void *context, const char *account,
+    const char *(*lessor)(void *context, const char *account, uint32_t part,
                           uint64_t *incarnation);
     /*
      * Sends the requests of one lessor. The reply with the same `sequence`
@@ -73,7 +74,8 @@
     uint64_t refused;
     uint32_t stock;
     uint32_t waiting;
-    bool is_lessor_silent;
+    /* Parts whose lessor does not answer. */
+    uint32_t silent_lessors;
 } bv_quota_usage_t;
 
 typedef struct bv_quota_holder bv_quota_holder_t;
@@ -126,7 +128,7 @@
 void bv_quota_holder_flush(bv_quota_holder_t *holder, int64_t now_us);
 
 /*
- * Handles the reply to the request with this number for one account. Returns
+ * Handles the reply to the request with this number for one part. Returns
  * false if no such request is open.
  */
 bool bv_quota_holder_handle_reply(bv_quota_holder_t *holder, int64_t now_us,
--- a/include/berylvane/core/quota_members.h
+++ b/include/berylvane/core/quota_members.h
@@ -4,14 +4,14 @@
 #include "berylvane/core/membership.h"
 
 /*
- * quota_members - which member lends the permits of an account
+ * quota_members - which member lends the permits of a part of a quota
  *
- * The lessor of an account is chosen by rendezvous hashing over the present
- * members. Handles the times in which the nodes' views of the members differ:
- * a member must have been present for `settle_us` before others choose it, and
- * lends only `own_settle_us` after its start, after a suspension and after it
- * was cut off. Since the second time is longer, the former lessor has stopped
- * by then.
+ * The lessor of each part of an account's quota is chosen by rendezvous
+ * hashing over the present members. Handles the times in which the nodes'
+ * views of the members differ: a member must have been present for `settle_us`
+ * before others choose it, and lends only `own_settle_us` after its start,
+ * after a suspension and after it was cut off. Since the second time is
+ * longer, the former lessor has stopped by then.
  *
  * All times are of a clock that counts suspension (CLOCK_BOOTTIME).
  */
@@ -51,20 +51,20 @@
                            bool is_cut_off);
 
 /*
- * Returns the name of the account's lessor, or NULL if there is none yet.
+ * Returns the name of the lessor of a part, or NULL if there is none yet.
  * Stores the incarnation of the lessor. The name is valid until the next
  * update.
  */
 const char *bv_quota_members_lessor(const bv_quota_members_t *members,
-                                    const char *account,
+                                    const char *account, uint32_t part,
                                     uint64_t *incarnation);
 
-/* Whether this node may lend the permits of an account. */
+/* Whether this node may lend the permits of a part. */
 bool bv_quota_members_is_lessor(const bv_quota_members_t *members,
-                                const char *account);
+                                const char *account, uint32_t part);
 
 /*
- * Time from which this node has been the lessor of all accounts that it is the
+ * Time from which this node has been the lessor of all parts that it is the
  * lessor of now.
  */
 int64_t bv_quota_members_since_us(const bv_quota_members_t *members);
--- a/include/berylvane/peer/quota_codec.h
+++ b/include/berylvane/peer/quota_codec.h
@@ -6,8 +6,9 @@
 /*
  * quota_codec - bodies of the messages QUOTA_REQUEST and QUOTA_REPLY
  *
- * A body is a MessagePack array with one array for each account. The number of
- * accounts, the lengths of names and all numbers are checked on decoding.
+ * A body is a MessagePack array with one array for each part of an account's
+ * quota. Their number, the lengths of names and all numbers are checked on
+ * decoding.
  */
 typedef struct {
     uint32_t count;
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -33,10 +33,10 @@
 };
 
 static bool
-is_lessor(void *context, const char *account)
+is_lessor(void *context, const char *account, uint32_t part)
 {
     const bv_node_t *node = context;
-    return bv_quota_members_is_lessor(node->quotas->members, account);
+    return bv_quota_members_is_lessor(node->quotas->members, account, part);
 }
 
 /* Applies the time, and returns it. Must precede each lending. */
@@ -53,10 +53,11 @@
 }
 
 static const char *
-on_lessor(void *context, const char *account, uint64_t *incarnation)
+on_lessor(void *context, const char *account, uint32_t part,
+          uint64_t *incarnation)
 {
     const bv_node_t *node = context;
-    return bv_quota_members_lessor(node->quotas->members, account,
+    return bv_quota_members_lessor(node->quotas->members, account, part,
                                    incarnation);
 }
 
@@ -66,9 +67,11 @@
     const bv_quotas_t *quotas = node->quotas;
     bv_quota_reply_t reply = {
         .account = request->account,
+        .part = request->part,
         .status = BV_QUOTA_NOT_LESSOR,
     };
-    if (bv_quota_members_is_lessor(quotas->members, request->account)) {
+    if (bv_quota_members_is_lessor(quotas->members, request->account,
+                                   request->part)) {
         reply = bv_quota_lessor_lend(
             quotas->lessor, now_us, bv_quota_members_since_us(quotas->members),
             request);
@@ -351,6 +354,7 @@
     for (uint32_t i = 0; i < requests.count; i++) {
         replies[i] = (bv_quota_reply_t){
             .account = requests.entries[i].account,
+            .part = requests.entries[i].part,
             .status = BV_QUOTA_NOT_LESSOR,
         };
         if (is_own) {
@@ -455,14 +459,14 @@
         return;
     }
     json_array_append_new(
-        context, json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:b}", "account",
+        context, json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "account",
                            usage->account, "admitted",
                            (json_int_t)usage->admitted, "admitted_from_floor",
                            (json_int_t)usage->admitted_from_floor, "refused",
                            (json_int_t)usage->refused, "stock",
                            (json_int_t)usage->stock, "waiting",
-                           (json_int_t)usage->waiting, "lessor_silent",
-                           usage->is_lessor_silent));
+                           (json_int_t)usage->waiting, "silent_lessors",
+                           (json_int_t)usage->silent_lessors));
 }
 
 static void
@@ -471,14 +475,14 @@
     if (json_array_size(context) >= STATUS_ACCOUNTS_LIMIT) {
         return;
     }
-    json_array_append_new(context,
-                          json_pack("{s:s, s:I, s:I, s:I, s:I, s:I}",
-                                    "account", bucket->account, "rate_per_s",
-                                    (json_int_t)bucket->limit.rate_per_s,
-                                    "burst", (json_int_t)bucket->limit.burst,
-                                    "granted", (json_int_t)bucket->granted,
-                                    "refused", (json_int_t)bucket->refused,
-                                    "permits", (json_int_t)bucket->permits));
+    json_array_append_new(
+        context, json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "account",
+                           bucket->account, "part", (json_int_t)bucket->part,
+                           "rate_per_s", (json_int_t)bucket->limit.rate_per_s,
+                           "burst", (json_int_t)bucket->limit.burst, "granted",
+                           (json_int_t)bucket->granted, "refused",
+                           (json_int_t)bucket->refused, "permits",
+                           (json_int_t)bucket->permits));
 }
 
 json_t *
--- a/peer/quota_codec.c
+++ b/peer/quota_codec.c
@@ -2,8 +2,8 @@
 
 #include "berylvane/peer/pack.h"
 
-#define REQUEST_FIELD_COUNT 3
-#define REPLY_FIELD_COUNT 5
+#define REQUEST_FIELD_COUNT 4
+#define REPLY_FIELD_COUNT 6
 
 /* Appends the entry with this index of a list. */
 typedef void (*pack_entry_t)(msgpack_packer *packer, const void *entries,
@@ -34,6 +34,7 @@
         &((const bv_quota_request_t *)entries)[index];
     msgpack_pack_array(packer, REQUEST_FIELD_COUNT);
     bv_pack_text(packer, request->account);
+    msgpack_pack_uint32(packer, request->part);
     msgpack_pack_uint32(packer, request->needed);
     msgpack_pack_uint32(packer, request->wanted);
 }
@@ -45,6 +46,7 @@
         &((const bv_quota_reply_t *)entries)[index];
     msgpack_pack_array(packer, REPLY_FIELD_COUNT);
     bv_pack_text(packer, reply->account);
+    msgpack_pack_uint32(packer, reply->part);
     msgpack_pack_uint8(packer, (uint8_t)reply->status);
     msgpack_pack_uint32(packer, reply->granted);
     msgpack_pack_uint32(packer, (uint32_t)reply->wait_us);
@@ -87,6 +89,12 @@
     return name;
 }
 
+static uint32_t
+unpack_part(bv_unpack_t *entry)
+{
+    return (uint32_t)bv_unpack_number(entry, BV_QUOTA_PARTS - 1);
+}
+
 static bool
 unpack_request(bv_unpack_t *list, void *decoded, uint32_t index)
 {
@@ -95,6 +103,7 @@
     bv_unpack_t entry = unpack_entry(list, REQUEST_FIELD_COUNT);
     requests->names[index] = unpack_account(&entry);
     request->account = requests->names[index];
+    request->part = unpack_part(&entry);
     request->needed =
         (uint32_t)bv_unpack_number(&entry, BV_QUOTA_PERMITS_LIMIT);
     request->wanted =
@@ -110,6 +119,7 @@
     bv_unpack_t entry = unpack_entry(list, REPLY_FIELD_COUNT);
     replies->names[index] = unpack_account(&entry);
     reply->account = replies->names[index];
+    reply->part = unpack_part(&entry);
     reply->status =
         (bv_quota_status_t)bv_unpack_number(&entry, BV_QUOTA_NOT_LESSOR);
     reply->granted =
