Exporter: number the requests, so that none is lost on stop

Seen: when a node stopped while its trace collector did not answer, spans were missing from both spans_sent and spans_dropped.

Cause: all requests of the exporter had the id 0. The HTTP client keeps its unfinished transfers by id, so each request displaced the one before, and bv_http_client_stop() cancelled only the last one. The callbacks of the others were never called, and their memory was not freed.

Change: each request has its own id. The header of the HTTP client now says that ids must differ among unfinished requests; the other users (store, load tool, stand-ins, naive proxy) already number theirs, and bv_http_call() sends one request only.

--- a/collector/exporter.c
+++ b/collector/exporter.c
@@ -21,6 +21,7 @@
     char *name;
     bv_ring_t *ring;
     bv_http_client_t *http;
+    uint64_t last_request_id;
     apr_thread_t *thread;
     /* Spans of the next request. */
     GPtrArray *batch;
@@ -95,6 +96,7 @@
         return;
     }
     bv_http_request_t *request = bv_http_request_create("POST", exporter->url);
+    request->id = ++exporter->last_request_id;
     request->headers = g_strdup("Content-Type: application/json\r\n");
     request->body = render_batch(exporter);
     request->timeout_us = SEND_TIMEOUT_US;
--- a/include/berylvane/common/http_client.h
+++ b/include/berylvane/common/http_client.h
@@ -46,7 +46,11 @@
 
 /* A request; the client that sends the request frees it. */
 typedef struct {
-    /* Identifies the request in its answer and in bv_http_client_cancel(). */
+    /*
+     * Identifies the request in its answer and in bv_http_client_cancel().
+     * Must differ from the ids of the client's other unfinished requests: the
+     * client loses track of all but one of those with the same id.
+     */
     uint64_t id;
     char *method;
     char *url;
