Load tool: count a false "not-run" once for each key

Seen: a request sent without a key, whose last attempt was falsely answered "not-run", raised false_not_run by 2 and was printed twice.

Cause: the key of the last answer is both the key of the result and in its list of keys answered "not-run", and load_judge() compared both with the targets' records.

Change: the key of the result is compared only if the list does not hold it.

Test: rows of test_load_judge for a request without a key of its own, with one and two attempts.

--- a/load/judge.c
+++ b/load/judge.c
@@ -104,6 +104,13 @@
     }
 }
 
+static bool
+has_not_run_key(const load_result_t *result, const char *key)
+{
+    return g_ptr_array_find_with_equal_func(result->not_run_keys, key,
+                                            g_str_equal, NULL);
+}
+
 static void
 judge_result(const execution_record_t *record, load_result_t *result,
              load_verdict_t *verdict)
@@ -123,7 +130,10 @@
     report_contradiction(result->outcome == BV_OUTCOME_RAN && !was_executed,
                          &verdict->lost, result->key,
                          "answered \"ran\", but no target executed it");
-    report_contradiction(result->outcome == BV_OUTCOME_NOT_RUN && was_executed,
+    bool is_false_not_run =
+        result->outcome == BV_OUTCOME_NOT_RUN && was_executed;
+    report_contradiction(is_false_not_run &&
+                             !has_not_run_key(result, result->key),
                          &verdict->false_not_run, result->key,
                          "answered \"not-run\", but a target executed it");
 }
--- a/load/load.h
+++ b/load/load.h
@@ -149,9 +149,8 @@
  * - ran_twice: pairs of a service and a key that the service executed more
  *   than once
  * - lost: requests with a key, answered "ran", that no target executed
- * - false_not_run: answers "not-run" for keys that a target executed; such an
- *   answer to the last attempt of a request without its own key counts twice,
- *   as its key is both load_result_t.key and in load_result_t.not_run_keys
+ * - false_not_run: answers "not-run" for keys that a target executed, each key
+ *   counted once
  */
 typedef struct {
     uint64_t executions;
--- a/tests/test_load_judge.c
+++ b/tests/test_load_judge.c
@@ -19,6 +19,8 @@
     const char *record;
     const char *key;
     bv_outcome_t outcome;
+    /* Keys of the attempts answered "not-run", separated by spaces. */
+    const char *not_run_keys;
     /* Whether load_judge() leaves the result marked as correct. */
     bool is_correct_after;
     load_verdict_t verdict;
@@ -29,42 +31,70 @@
      "orders POST /orders k\n",
      "k",
      BV_OUTCOME_RAN,
+     "",
      true,
      {.executions = 1}},
     {"one service ran a key twice",
      "orders POST /orders k\norders POST /orders k\n",
      "k",
      BV_OUTCOME_RAN,
+     "",
      false,
      {.executions = 2, .ran_twice = 1}},
     {"words after the key are no part of it",
      "orders POST /orders k 17 gold\norders POST /orders k 18 a customer\n",
      "k",
      BV_OUTCOME_RAN,
+     "",
      false,
      {.executions = 2, .ran_twice = 1}},
     {"two services ran a key once each",
      "orders POST /orders k\npayments POST /payments k\n",
      "k",
      BV_OUTCOME_RAN,
+     "",
      true,
      {.executions = 2}},
     {"answered ran but not executed",
      "orders POST /orders other\n",
      "k",
      BV_OUTCOME_RAN,
+     "",
      true,
      {.executions = 1, .lost = 1}},
     {"answered not-run but executed",
      "orders POST /orders k\n",
      "k",
      BV_OUTCOME_NOT_RUN,
+     "",
+     true,
+     {.executions = 1, .false_not_run = 1}},
+    {"last attempt with a node's key answered not-run but executed",
+     "orders POST /orders k\n",
+     "k",
+     BV_OUTCOME_NOT_RUN,
+     "k",
+     true,
+     {.executions = 1, .false_not_run = 1}},
+    {"two attempts with a node's keys answered not-run but executed",
+     "orders POST /orders j\norders POST /orders k\n",
+     "k",
+     BV_OUTCOME_NOT_RUN,
+     "j k",
+     true,
+     {.executions = 2, .false_not_run = 2}},
+    {"first of two attempts answered not-run but executed",
+     "orders POST /orders j\n",
+     "k",
+     BV_OUTCOME_NOT_RUN,
+     "j k",
      true,
      {.executions = 1, .false_not_run = 1}},
     {"request without a key",
      "stock GET /stock/x -\n",
      NULL,
      BV_OUTCOME_RAN,
+     "",
      true,
      {.executions = 1}},
 };
@@ -75,12 +105,16 @@
     char *directory = g_dir_make_tmp("berylvane-XXXXXX", NULL);
     char *path = g_build_filename(directory, RECORD_FILE_NAME, NULL);
     ck_assert(g_file_set_contents(path, row->record, -1, NULL));
+    char **not_run_keys = g_strsplit(row->not_run_keys, " ", -1);
     load_result_t result = {
         .is_correct = true,
         .outcome = row->outcome,
         .key = (char *)row->key,
         .not_run_keys = g_ptr_array_new(),
     };
+    for (char **key = not_run_keys; *key != NULL; key++) {
+        g_ptr_array_add(result.not_run_keys, *key);
+    }
     load_run_t run = {.results =
                           g_array_new(FALSE, FALSE, sizeof(load_result_t))};
     g_array_append_val(run.results, result);
@@ -93,6 +127,7 @@
     ck_assert(g_array_index(run.results, load_result_t, 0).is_correct ==
               row->is_correct_after);
     g_ptr_array_unref(result.not_run_keys);
+    g_strfreev(not_run_keys);
     g_array_unref(run.results);
     remove(path);
     remove(directory);
