Naive proxy: release the slot of a call that cannot be sent

Seen: after the queue of the HTTP client was full once, the naive proxy ran one call less at a time for the rest of its life; with one slot it served nothing any more.

Cause: send_to_target() counted the call as running before it was sent. When the client refused it, the call was answered 503, but no event followed that would have given the slot back.

Change: a call occupies a slot only once it was sent, and a freed slot goes to the waiting calls until one of them was sent.

Test: test_naive_proxy fills the client's queue, once for a call that finds a free slot and once for one that waited for it. Before: both cases end with running_count 1 of 1 slot. After: both pass, 15 of 15 runs under the address and undefined-behaviour sanitizers.

--- a/bench/naive/proxy.c
+++ b/bench/naive/proxy.c
@@ -139,7 +139,8 @@
                            BV_HEADER_IDEMPOTENCY_KEY, exchange->key);
 }
 
-static void
+/* Returns false, after replying 503, if the client's queue is full. */
+static bool
 send_attempt(naive_proxy_t *proxy, exchange_t *exchange, char *url)
 {
     const bv_call_t *call = exchange->call;
@@ -160,7 +161,9 @@
     if (!bv_http_client_send(proxy->http_client, request)) {
         exchange->status = STATUS_UNAVAILABLE;
         reply(exchange);
+        return false;
     }
+    return true;
 }
 
 static void
@@ -175,15 +178,23 @@
         g_strdup_printf("http://%s%s", instance, exchange->call->path));
 }
 
+/* Occupies a slot if the call was sent. */
 static void
 send_to_target(naive_proxy_t *proxy, exchange_t *exchange)
 {
-    proxy->running_count++;
     exchange->kind = EVENT_TARGET_ANSWER;
-    send_attempt(proxy, exchange,
-                 g_strdup_printf("http://127.0.0.1:%d%s",
-                                 (int)proxy->settings->target_port,
-                                 exchange->call->path));
+    char *url = g_strdup_printf("http://127.0.0.1:%d%s",
+                                (int)proxy->settings->target_port,
+                                exchange->call->path);
+    if (send_attempt(proxy, exchange, url)) {
+        proxy->running_count++;
+    }
+}
+
+static bool
+has_free_slot(const naive_proxy_t *proxy)
+{
+    return proxy->running_count < (size_t)proxy->settings->slots;
 }
 
 static void
@@ -207,7 +218,7 @@
 handle_peer_call(naive_proxy_t *proxy, exchange_t *exchange)
 {
     const naive_settings_t *settings = proxy->settings;
-    if (proxy->running_count < (size_t)settings->slots) {
+    if (has_free_slot(proxy)) {
         send_to_target(proxy, exchange);
         return;
     }
@@ -235,9 +246,8 @@
 {
     reply(exchange);
     proxy->running_count--;
-    exchange_t *next = g_queue_pop_head(&proxy->waiting);
-    if (next != NULL) {
-        send_to_target(proxy, next);
+    while (has_free_slot(proxy) && !g_queue_is_empty(&proxy->waiting)) {
+        send_to_target(proxy, g_queue_pop_head(&proxy->waiting));
     }
 }
 
