Routing: own reason for retries that the route's mode suppresses

Seen: bv_routing_charge_attempt() gave no_credit for a retry or hedge that observe or bypass mode suppressed, and recorded no decision, so that an operator found no trace of why such a call was not tried again, or a shortage of credit that did not exist.

Change: reason `mode`, recorded as `not_retried` and counted (reason_mode) like the other reasons for which a further try is not made.

On the wire: a node of an earlier version rejects a peer message with a reason that it does not know. The new reason says why a further attempt was not made and stays in the decisions of the node; the answer keeps the reason of the attempt that failed (retry_or_answer() in core/request.c).

--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -6,6 +6,10 @@
  *
  * Each line holds a symbol and a name. The list defines the type bv_reason_t
  * and the counters by reason; order and names are part of the wire format.
+ *
+ * A node of an earlier version rejects a peer message whose reason it does not
+ * know. MODE therefore appears in the decisions of a node only, never in an
+ * answer: it says why a retry or hedge was not made.
  */
 #define BV_REASON_LIST(X)                                                     \
     X(NONE, "none")                                                           \
@@ -41,6 +45,7 @@
     X(QUOTA, "quota")                                                         \
     X(CONNECTION_LOST, "connection_lost")                                     \
     X(NO_MEMORY, "no_memory")                                                 \
-    X(BODY_TOO_LARGE, "body_too_large")
+    X(BODY_TOO_LARGE, "body_too_large")                                       \
+    X(MODE, "mode")
 
 #endif
--- a/node/routing.c
+++ b/node/routing.c
@@ -29,11 +29,36 @@
     return state->priority >= pressure.threshold;
 }
 
-/* Charges a retry or hedge to the service's retry budget and the credits. */
+/*
+ * Retries and hedges are made in enforce mode only. In observe mode those that
+ * would have been made are counted.
+ */
+static bool
+is_suppressed_by_mode(const bv_call_state_t *state, bv_attempt_kind_t kind)
+{
+    if (state->route->mode == BV_MODE_ENFORCE) {
+        return false;
+    }
+    if (state->route->mode == BV_MODE_OBSERVE) {
+        bv_counter_add(kind == BV_HEDGE ? BV_COUNT_OBSERVED_HEDGES
+                                        : BV_COUNT_OBSERVED_RETRIES,
+                       1);
+    }
+    return true;
+}
+
+/*
+ * Charges a retry or hedge to the service's retry budget and the credits,
+ * unless the route's mode suppresses it.
+ */
 static bool
 charge_retry(bv_node_t *node, const bv_call_state_t *state,
              bv_attempt_kind_t kind, bv_reason_t *reason)
 {
+    if (is_suppressed_by_mode(state, kind)) {
+        *reason = BV_REASON_MODE;
+        return false;
+    }
     bool is_useful =
         kind == BV_HEDGE ? may_hedge(node, state) : may_retry(node, state);
     if (!is_useful) {
@@ -53,24 +78,6 @@
     return true;
 }
 
-/*
- * Retries and hedges are made in enforce mode only. In observe mode those that
- * would have been made are counted.
- */
-static bool
-is_suppressed_by_mode(const bv_call_state_t *state, bv_attempt_kind_t kind)
-{
-    if (state->route->mode == BV_MODE_ENFORCE) {
-        return false;
-    }
-    if (state->route->mode == BV_MODE_OBSERVE) {
-        bv_counter_add(kind == BV_HEDGE ? BV_COUNT_OBSERVED_HEDGES
-                                        : BV_COUNT_OBSERVED_RETRIES,
-                       1);
-    }
-    return true;
-}
-
 static void
 record_not_retried(bv_node_t *node, const bv_call_state_t *state,
                    bv_reason_t reason)
@@ -107,10 +114,6 @@
         bv_counter_add(BV_COUNT_REROUTES, 1);
         return true;
     }
-    if (is_suppressed_by_mode(state, kind)) {
-        *reason = BV_REASON_NO_CREDIT;
-        return false;
-    }
     if (!charge_retry(node, state, kind, reason)) {
         bv_node_count_reason(*reason);
         record_not_retried(node, state, *reason);
