Command lines: refuse numbers and names that are misspelt

A file that cannot be opened was reported as FILE: -1:-1.

Cause: strtol(), strtoul() and atoi() take "abc" as 0 and "1e6" as 1.

Change: common/number_option parses whole numbers within bounds, with GLib's g_ascii_string_to_signed(). A bad value ends the program with status 2 after one line that has the option and its value. Used by berylvanectl, the benchmark programs, the platform stand-in, the soak test and the test programs. Unknown scenarios and kinds of calls are refused in the same way.

--- a/bench/calls/main.c
+++ b/bench/calls/main.c
@@ -1,16 +1,22 @@
 #include "calls.h"
 
 #include "berylvane/common/clock.h"
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 #include "berylvane/standin/cluster.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #define NODE_COUNT 2
 #define SETTLE_US (BV_US_PER_S / 2)
+#define CONNECTIONS_LIMIT 1000
+#define MILLISECONDS_LIMIT (86400 * 1000)
+#define PAUSE_LIMIT_US (60 * BV_US_PER_S)
 
 const char *argp_program_version = "berylvane-bench-calls " BV_VERSION;
 
@@ -27,9 +33,9 @@
     const char *work_directory;
     const char *deployment_directory;
     const char *kind_name;
-    long milliseconds;
-    long connections;
-    long pause_us;
+    int64_t milliseconds;
+    int64_t connections;
+    int64_t pause_us;
 } arguments_t;
 
 static const struct argp_option options[] = {
@@ -48,6 +54,25 @@
      "pause of a connection between two calls (default: 0)", 0},
     {0}};
 
+/* Ends the program after printing an error if no kind has the name. */
+static void
+check_kind(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        if (strcmp(kinds[i].name, name) == 0) {
+            return;
+        }
+    }
+    GString *accepted = g_string_new(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        g_string_append_printf(accepted, "%s\"%s\"", i > 0 ? ", " : "",
+                               kinds[i].name);
+    }
+    fprintf(stderr, "%s: --kind %s: no such kind; accepted: %s\n",
+            program_invocation_short_name, name, accepted->str);
+    exit(BV_EXIT_USAGE);
+}
+
 static error_t
 parse_option(int key, char *text, struct argp_state *state)
 {
@@ -63,24 +88,24 @@
         arguments->deployment_directory = text;
         return 0;
     case 'k':
+        check_kind(text);
         arguments->kind_name = text;
         return 0;
     case 't':
-        arguments->milliseconds = strtol(text, NULL, 10);
+        arguments->milliseconds =
+            bv_number_option("--milliseconds", text, 1, MILLISECONDS_LIMIT);
         return 0;
     case 'c':
-        arguments->connections = strtol(text, NULL, 10);
+        arguments->connections =
+            bv_number_option("--connections", text, 1, CONNECTIONS_LIMIT);
         return 0;
     case 'p':
-        arguments->pause_us = strtol(text, NULL, 10);
+        arguments->pause_us =
+            bv_number_option("--pause-us", text, 0, PAUSE_LIMIT_US);
         return 0;
     case ARGP_KEY_END:
-        if (arguments->work_directory == NULL || arguments->milliseconds < 1 ||
-            arguments->connections < 1 || arguments->connections > 1000 ||
-            arguments->pause_us < 0) {
-            argp_error(state, "--work DIRECTORY is needed, --milliseconds at "
-                              "least 1, --connections from 1 to 1000, "
-                              "--pause-us at least 0");
+        if (arguments->work_directory == NULL) {
+            argp_error(state, "--work DIRECTORY is needed");
         }
         return 0;
     default:
--- a/bench/driver/main.c
+++ b/bench/driver/main.c
@@ -1,10 +1,14 @@
 #include "driver.h"
 
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <stdio.h>
-#include <stdlib.h>
+
+#define SECONDS_LIMIT 86400
+#define SEEDS_LIMIT 1000000
 
 const char *argp_program_version = "berylvane-bench " BV_VERSION;
 
@@ -56,10 +60,12 @@
         arguments->commit_id = text;
         return 0;
     case 't':
-        arguments->seconds = strtol(text, NULL, 10);
+        arguments->seconds =
+            bv_number_option("--seconds", text, 0, SECONDS_LIMIT);
         return 0;
     case 'n':
-        arguments->seed_count = strtol(text, NULL, 10);
+        arguments->seed_count =
+            bv_number_option("--seeds", text, 1, SEEDS_LIMIT);
         return 0;
     case ARGP_KEY_END:
         if (arguments->deployment_path == NULL ||
@@ -226,6 +232,19 @@
     return succeeded;
 }
 
+/* Prints an error and returns false if no scenario has the name given. */
+static bool
+is_scenario_known(const driver_options_t *arguments, const json_t *scenarios)
+{
+    const char *name = arguments->scenario_name;
+    if (name == NULL || json_object_get(scenarios, name) != NULL) {
+        return true;
+    }
+    fprintf(stderr, "%s: --scenario %s: no such scenario in %s\n",
+            program_invocation_short_name, name, arguments->scenarios_path);
+    return false;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -239,13 +258,15 @@
     json_t *deployment = driver_load_json(arguments.deployment_path, NULL);
     json_t *scenarios = driver_load_json(arguments.scenarios_path,
                                          json_object_get(deployment, "words"));
-    if (deployment == NULL || scenarios == NULL) {
-        return BV_EXIT_USAGE;
+    int status = BV_EXIT_USAGE;
+    if (deployment != NULL && scenarios != NULL &&
+        is_scenario_known(&arguments, scenarios)) {
+        apr_pool_t *pool = bv_program_start();
+        bool succeeded = run_all(&arguments, deployment, scenarios);
+        bv_program_stop(pool);
+        status = succeeded ? BV_EXIT_OK : BV_EXIT_FAILED;
     }
-    apr_pool_t *pool = bv_program_start();
-    bool succeeded = run_all(&arguments, deployment, scenarios);
-    bv_program_stop(pool);
     json_decref(scenarios);
     json_decref(deployment);
-    return succeeded ? BV_EXIT_OK : BV_EXIT_FAILED;
+    return status;
 }
--- a/bench/membership/main.c
+++ b/bench/membership/main.c
@@ -1,4 +1,5 @@
 #include "berylvane/common/clock.h"
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 #include "berylvane/peer/message.h"
 
@@ -7,7 +8,6 @@
 #include <argp.h>
 #include <malloc.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <sys/resource.h>
 
 /*
@@ -23,6 +23,9 @@
 
 const char *argp_program_version = "berylvane-bench-membership " BV_VERSION;
 
+#define MEMBERS_LIMIT 100000
+#define SECONDS_LIMIT 86400
+
 typedef struct {
     uint32_t members;
     uint32_t warm_s;
@@ -52,22 +55,26 @@
 parse_option(int key, char *text, struct argp_state *state)
 {
     arguments_t *arguments = state->input;
-    uint32_t number = text != NULL ? (uint32_t)strtoul(text, NULL, 10) : 0;
     switch (key) {
     case 'm':
-        arguments->members = number;
+        arguments->members =
+            (uint32_t)bv_number_option("--members", text, 1, MEMBERS_LIMIT);
         return 0;
     case 'w':
-        arguments->warm_s = number;
+        arguments->warm_s =
+            (uint32_t)bv_number_option("--warm", text, 0, SECONDS_LIMIT);
         return 0;
     case 't':
-        arguments->seconds = number;
+        arguments->seconds =
+            (uint32_t)bv_number_option("--seconds", text, 1, SECONDS_LIMIT);
         return 0;
     case 's':
-        arguments->seed = number;
+        arguments->seed =
+            (guint32)bv_number_option("--seed", text, 0, G_MAXUINT32);
         return 0;
     case 'r':
-        arguments->restarts = number;
+        arguments->restarts =
+            (uint32_t)bv_number_option("--restarts", text, 0, G_MAXINT32);
         return 0;
     default:
         return ARGP_ERR_UNKNOWN;
@@ -141,6 +148,7 @@
 {
     arguments_t arguments = {
         .members = 100, .warm_s = 60, .seconds = 30, .seed = 1};
+    argp_err_exit_status = BV_EXIT_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &arguments);
     size_t heap_before = mallinfo2().uordblks;
     member_cluster_options_t cluster_options = {
--- a/bench/membership/nodes.c
+++ b/bench/membership/nodes.c
@@ -1,9 +1,9 @@
 #include "berylvane/common/clock.h"
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 #include "berylvane/standin/cluster.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -18,6 +18,8 @@
 #define NODE_PROCESS_NAME "(berylvane-node)"
 /* Time for starting nodes to join before the measurement. */
 #define SETTLE_US (20 * BV_US_PER_S)
+#define NODES_LIMIT 10000
+#define SECONDS_LIMIT 3600
 
 /*
  * Sums over all nodes: resident memory at the time of the measurement, and
@@ -137,10 +139,11 @@
                 argv[0]);
         return BV_EXIT_USAGE;
     }
+    int nodes = (int)bv_number_option("NODES", argv[4], 1, NODES_LIMIT);
+    int seconds = (int)bv_number_option("SECONDS", argv[5], 1, SECONDS_LIMIT);
     bv_program_start();
     GError *error = NULL;
-    int seconds = atoi(argv[5]);
-    json_t *deployment = build_deployment(argv[3], atoi(argv[4]));
+    json_t *deployment = build_deployment(argv[3], nodes);
     cluster_options_t options = {argv[1], argv[2], deployment, "/"};
     cluster_t *cluster = cluster_start(&options, &error);
     if (cluster == NULL) {
--- a/common/findings.c
+++ b/common/findings.c
@@ -121,8 +121,12 @@
     json_error_t error;
     json_t *root = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
     if (root == NULL) {
-        char place[48];
-        g_snprintf(place, sizeof(place), "%d:%d", error.line, error.column);
+        char place[48] = "";
+        /* A file that cannot be opened has no line. */
+        if (error.line > 0) {
+            g_snprintf(place, sizeof(place), "%d:%d", error.line,
+                       error.column);
+        }
         bv_findings_add(findings, path, place, "%s", error.text);
     }
     return root;
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -1,12 +1,13 @@
 #include "ctl.h"
 
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 
 #include <argp.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define WAIT_DEFAULT_S 17
+#define WAIT_LIMIT_S 86400
 #define COMMAND_NAMES                                                         \
     "validate, check, render, diff, apply, status, drain, watch, explain"
 #define EXPLAIN_SUBJECTS "request ID, member NAME, config, counts"
@@ -203,7 +204,9 @@
         return 0;
     case OPTION_WAIT:
         given->has_wait = true;
-        given->wait_limit_s = text != NULL ? atoi(text) : WAIT_DEFAULT_S;
+        given->wait_limit_s =
+            text != NULL ? bv_number_option("--wait", text, 0, WAIT_LIMIT_S)
+                         : WAIT_DEFAULT_S;
         return 0;
     case ARGP_KEY_ARG:
         return parse_argument(arguments, text, state);
--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -1,10 +1,10 @@
 #include "service.h"
 
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 
 #include <argp.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 #define RING_CAPACITY 16384
 #define BODY_LIMIT_BYTES (16 * 1024 * 1024)
@@ -26,16 +26,14 @@
 parse_option(int key, char *text, struct argp_state *state)
 {
     arguments_t *arguments = state->input;
-    guint64 number = 0;
     switch (key) {
     case 'p':
-        if (!g_ascii_string_to_unsigned(text, 10, 1, 65535, &number, NULL)) {
-            argp_error(state, "--port %s: expected 1 to 65535", text);
-        }
-        arguments->port = (uint16_t)number;
+        arguments->port =
+            (uint16_t)bv_number_option("--port", text, 1, UINT16_MAX);
         return 0;
     case 's':
-        arguments->seed = (guint32)strtoul(text, NULL, 10);
+        arguments->seed =
+            (guint32)bv_number_option("--seed", text, 0, G_MAXUINT32);
         return 0;
     case ARGP_KEY_END:
         if (arguments->port == 0) {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -2,11 +2,11 @@
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/findings.h"
+#include "berylvane/common/number_option.h"
 #include "berylvane/common/program.h"
 
 #include <argp.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <unistd.h>
 
 #define LOAD_WARMUP_US BV_US_PER_S
@@ -14,6 +14,7 @@
 #define END_RETRIES 600
 /* Seconds that the load lasts beyond the time in which fault series begin. */
 #define LOAD_MARGIN_S 4
+#define SECONDS_LIMIT 86400
 
 typedef struct {
     uint32_t seed;
@@ -37,13 +38,16 @@
     arguments_t *arguments = state->input;
     switch (key) {
     case 's':
-        arguments->seed = (uint32_t)strtoul(text, NULL, 10);
+        arguments->seed =
+            (uint32_t)bv_number_option("--seed", text, 0, G_MAXUINT32);
         return 0;
     case 'n':
-        arguments->seeds = (uint32_t)strtoul(text, NULL, 10);
+        arguments->seeds =
+            (uint32_t)bv_number_option("--seeds", text, 0, G_MAXINT32);
         return 0;
     case 't':
-        arguments->seconds = strtoll(text, NULL, 10);
+        arguments->seconds =
+            bv_number_option("--seconds", text, 1, SECONDS_LIMIT);
         return 0;
     case 'r':
         arguments->regressions = text;
--- a/tests/support.c
+++ b/tests/support.c
@@ -1,7 +1,8 @@
 #include "support.h"
 
+#include "berylvane/common/number_option.h"
+
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define TIMEOUT_S 600
@@ -31,10 +32,12 @@
 {
     for (int i = 1; i + 1 < argc; i += 2) {
         if (strcmp(argv[i], "--seed") == 0) {
-            command_line.seed = (guint32)strtoul(argv[i + 1], NULL, 10);
+            command_line.seed = (guint32)bv_number_option(
+                "--seed", argv[i + 1], 1, G_MAXUINT32);
         }
         if (strcmp(argv[i], "--events") == 0) {
-            command_line.events = strtoull(argv[i + 1], NULL, 10);
+            command_line.events = (uint64_t)bv_number_option(
+                "--events", argv[i + 1], 1, G_MAXINT64);
         }
     }
 }
