--- a/tests/e2e/fixture.c
+++ b/tests/e2e/fixture.c
@@ -7,12 +7,19 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Exit status of a test whose processes did not start or stop as they should.
+ * It differs from that of failed checks, since an entry of KNOWN-RED.txt for a
+ * check must not excuse it; see .ci/judge_tests.
+ */
+#define PROCESS_FAILED_STATUS 3
+
 static void
 exit_unless(bool condition, const char *message)
 {
     if (!condition) {
         fprintf(stderr, "fixture: %s\n", message);
-        exit(1);
+        exit(PROCESS_FAILED_STATUS);
     }
 }
 
--- a/tests/e2e/fixture.h
+++ b/tests/e2e/fixture.h
@@ -18,13 +18,13 @@
 /*
  * Starts the deployment described by the file tests/e2e/FILE_NAME and returns
  * when every node is ready; the result is freed by fixture_stop(). On failure,
- * prints the cause to standard error and ends the program with status 1. The
+ * prints the cause to standard error and ends the program with status 3. The
  * folder with logs and records is printed to standard output.
  */
 fixture_t *fixture_start(const char *file_name);
 
 /*
- * Stops all processes and frees the fixture. Ends the program with status 1 if
+ * Stops all processes and frees the fixture. Ends the program with status 3 if
  * a node did not exit with status 0. The folder with logs and records is
  * removed only if `passed` is set.
  */
