Platform stand-in: at most 100 changes in a transaction

Seen: the stand-in accepted transactions that write up to 200 rows; the published limit is 100 entries, so a node that sends more would have been found by the store only.

Cause: conditions, writes and removals were added up and compared with twice the limit.

Change: writes and removals together are limited to 100. Whether conditions count among the entries is stated nowhere in this repository, so their number is limited as before: 200 with the changes.

Test: table of sizes in e2e_standin_store.

--- a/standin/platform/table.c
+++ b/standin/platform/table.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define ROWS_LIMIT 500
+/* The published limit of entries in a transaction. */
 #define TRANSACTION_ENTRIES_LIMIT 100
 
 static guint
@@ -119,6 +120,22 @@
     return json_is_array(entries);
 }
 
+/*
+ * Whether the transaction writes and removes no more rows than the published
+ * limit allows. docs/PLATFORM.md does not say whether conditions count among
+ * the entries; a condition for each change is accepted beside the changes.
+ */
+static bool
+is_within_limit(const json_t *request)
+{
+    size_t conditions =
+        json_array_size(json_object_get(request, "ExpectedRevision"));
+    size_t changes = json_array_size(json_object_get(request, "Writes")) +
+                     json_array_size(json_object_get(request, "Remove"));
+    return changes <= TRANSACTION_ENTRIES_LIMIT &&
+           conditions + changes <= 2 * TRANSACTION_ENTRIES_LIMIT;
+}
+
 static bool
 is_well_formed(const json_t *request)
 {
@@ -127,10 +144,7 @@
     const json_t *removals = json_object_get(request, "Remove");
     return all_entries_identify_rows(conditions) &&
            all_entries_identify_rows(writes) &&
-           all_entries_identify_rows(removals) &&
-           json_array_size(conditions) + json_array_size(writes) +
-                   json_array_size(removals) <=
-               2 * TRANSACTION_ENTRIES_LIMIT;
+           all_entries_identify_rows(removals) && is_within_limit(request);
 }
 
 /*
--- a/tests/e2e/test_standin_store.c
+++ b/tests/e2e/test_standin_store.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/headers.h"
 #include "berylvane/common/program.h"
 
+#include <jansson.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -243,6 +244,56 @@
 }
 END_TEST
 
+typedef struct {
+    size_t conditions;
+    size_t writes;
+    size_t removals;
+    uint16_t status;
+} size_case_t;
+
+static const size_case_t size_cases[] = {
+    {0, 100, 0, 200},   {0, 0, 100, 200}, {0, 60, 40, 200},
+    {100, 60, 40, 200}, {0, 101, 0, 400}, {0, 0, 101, 400},
+    {0, 60, 41, 400},   {0, 200, 0, 400}, {101, 60, 40, 400},
+};
+
+/* Returns a list of entries with the keys `prefix` and a number. */
+static json_t *
+entries(const char *prefix, size_t count)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < count; i++) {
+        char *key = g_strdup_printf("%s%zu", prefix, i);
+        json_array_append_new(list, json_pack("{s:s, s:s, s:i, s:s}", "Table",
+                                              "other", "Key", key, "Ver", 0,
+                                              "Value", "x"));
+        g_free(key);
+    }
+    return list;
+}
+
+/*
+ * Guards against a node that sends more entries in a transaction than the
+ * store takes. Only the store would refuse it.
+ */
+START_TEST(test_transaction_size)
+{
+    const size_case_t *row = &size_cases[_i];
+    start_store();
+    json_t *transaction = json_pack("{s:o, s:o, s:o}", "ExpectedRevision",
+                                    entries("c", row->conditions), "Writes",
+                                    entries("w", row->writes), "Remove",
+                                    entries("r", row->removals));
+    char *text = json_dumps(transaction, JSON_COMPACT);
+    uint16_t status = platform_request_status(fixture.store_port, "POST",
+                                              "/v1/rows-tx", NULL, text);
+    ck_assert_uint_eq(status, row->status);
+    free(text);
+    json_decref(transaction);
+    platform_stop(&fixture);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -252,6 +303,7 @@
         {"restore", test_restore, 1},
         {"open_feed", test_open_feed, G_N_ELEMENTS(open_feed_cases)},
         {"silence", test_silence, 1},
+        {"transaction_size", test_transaction_size, G_N_ELEMENTS(size_cases)},
         {NULL},
     };
     bv_program_start();
