--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -1,6 +1,7 @@
 #include "ctl.h"
 
 #include "berylvane/common/clock.h"
+#include "berylvane/common/http_status.h"
 #include "berylvane/core/types.h"
 
 #include <stdio.h>
@@ -13,8 +14,6 @@
 #define RESOLVE_ATTEMPTS 30
 #define RESOLVE_PAUSE_US (BV_US_PER_S / 2)
 #define STATUS_POLL_US (BV_US_PER_S / 5)
-/* HTTP status of a node that has another bundle of the generation. */
-#define STATUS_CONFLICT 409
 
 /*
  * Result of a change. APPLY_UNKNOWN means that the store did not answer
@@ -277,7 +276,7 @@
     }
     json_t *answer = ctl_node_post(options, "/configuration", body, &status);
     json_decref(answer);
-    if (status == STATUS_CONFLICT) {
+    if (status == BV_STATUS_CONFLICT) {
         fprintf(stderr,
                 "conflict: %s has another configuration of this generation "
                 "and keeps it until a later change; apply again\n",
--- a/node/status.c
+++ b/node/status.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/account_counters.h"
 #include "berylvane/common/clock.h"
 #include "berylvane/common/gauges.h"
+#include "berylvane/common/http_status.h"
 #include "berylvane/core/config_freshness.h"
 #include "berylvane/node/configs.h"
 #include "berylvane/node/node.h"
@@ -164,9 +165,9 @@
 reply_submission(bv_call_t *call, bv_config_offer_result_t result)
 {
     static const uint16_t statuses[] = {
-        [BV_CONFIG_OFFER_TAKEN] = 200,
-        [BV_CONFIG_OFFER_CONFLICT] = 409,
-        [BV_CONFIG_OFFER_REFUSED] = 400,
+        [BV_CONFIG_OFFER_TAKEN] = BV_STATUS_OK,
+        [BV_CONFIG_OFFER_CONFLICT] = BV_STATUS_CONFLICT,
+        [BV_CONFIG_OFFER_REFUSED] = BV_STATUS_BAD_REQUEST,
     };
     reply_json(call, statuses[result],
                json_pack("{s:b}", "taken", result == BV_CONFIG_OFFER_TAKEN));
