Quotas: tell callers when lessors lend again after a start

After a restart of all nodes no permit is lent for 2.3 s. Callers were told to return after 1 to 1.5 s, were refused again, and often had no time left for a third try. A node that may not lend yet states how long that lasts in its reply, whose field for the retry time was 0 until now, and the holder tells callers the earliest of these times. Rows of a test with one and with several starting lessors fail before.

--- a/core/quota_holder_charge.c
+++ b/core/quota_holder_charge.c
@@ -48,7 +48,7 @@
         return BV_QUOTA_ADMITTED;
     }
     account->refused++;
-    *retry_us = quota_holder_retry_us(account);
+    *retry_us = quota_holder_retry_us(account, now_us);
     return BV_QUOTA_REFUSED;
 }
 
--- a/core/quota_holder_internal.h
+++ b/core/quota_holder_internal.h
@@ -25,7 +25,7 @@
 #define USE_PERIOD_US (100 * US_PER_MS)
 /* The stock that a node aims at is the use in this part of a second. */
 #define STOCK_DIVISOR 5
-/* Retry time that is stated when no lessor answers. */
+/* Least retry time that is stated when no lessor answers. */
 #define FLOOR_RETRY_US (1000 * US_PER_MS)
 
 /* A request to a lessor that may still be answered. */
@@ -47,6 +47,8 @@
     /* The lessor does not answer; it is probed from `probe_due_us` on. */
     bool is_silent;
     int64_t probe_due_us;
+    /* Time from which a silent lessor lends, as it stated; 0 if unknown. */
+    int64_t lends_from_us;
     int64_t refused_until_us;
     int64_t refused_retry_us;
 } part_t;
@@ -117,7 +119,7 @@
 uint32_t quota_holder_count_silent(const account_t *account);
 
 /* Time to state to a caller while no part can be asked. */
-int64_t quota_holder_retry_us(const account_t *account);
+int64_t quota_holder_retry_us(const account_t *account, int64_t now_us);
 
 /* Marks a part as one whose lessor does not answer, to be probed from then. */
 void quota_holder_silence_part(account_t *account, uint32_t index,
--- a/core/quota_holder_parts.c
+++ b/core/quota_holder_parts.c
@@ -27,12 +27,29 @@
     return count;
 }
 
+/*
+ * Time until the first lessor lends, while all are silent. After a restart of
+ * all nodes none lends for some seconds, and callers that return earlier would
+ * be refused again.
+ */
+static int64_t
+wait_for_lessor_us(const account_t *account, int64_t now_us)
+{
+    int64_t from_us = INT64_MAX;
+    for (uint32_t i = 0; i < BV_QUOTA_PARTS; i++) {
+        int64_t part_us = account->parts[i].lends_from_us;
+        from_us = part_us > now_us ? MIN(from_us, part_us) : from_us;
+    }
+    return from_us == INT64_MAX ? FLOOR_RETRY_US
+                                : MAX(FLOOR_RETRY_US, from_us - now_us);
+}
+
 int64_t
-quota_holder_retry_us(const account_t *account)
+quota_holder_retry_us(const account_t *account, int64_t now_us)
 {
     int64_t retry_us = INT64_MAX;
     if (quota_holder_count_silent(account) == BV_QUOTA_PARTS) {
-        return FLOOR_RETRY_US;
+        return wait_for_lessor_us(account, now_us);
     }
     for (uint32_t i = 0; i < BV_QUOTA_PARTS; i++) {
         const part_t *part = &account->parts[i];
--- a/core/quota_holder_replies.c
+++ b/core/quota_holder_replies.c
@@ -71,7 +71,7 @@
  */
 static void
 count_refusals(const bv_quota_holder_t *holder, account_t *account,
-               uint32_t count)
+               int64_t now_us, uint32_t count)
 {
     const GList *item = account->waiters.head;
     for (uint32_t i = 0; i < count && item != NULL; i++) {
@@ -80,7 +80,7 @@
     }
     while (is_refused_by_all(account)) {
         quota_holder_refuse_first(holder, account,
-                                  quota_holder_retry_us(account));
+                                  quota_holder_retry_us(account, now_us));
     }
 }
 
@@ -93,7 +93,7 @@
     part->refused_until_us =
         now_us + CLAMP(reply->wait_us, REFUSAL_LEAST_US, REFUSAL_LIMIT_US);
     part->refused_retry_us = reply->retry_us;
-    count_refusals(holder, account, count);
+    count_refusals(holder, account, now_us, count);
     quota_holder_mark_pending(holder, account);
 }
 
@@ -129,6 +129,7 @@
         handle_granted(holder, account, now_us, request, reply);
     }
     else if (!request->has_timed_out) {
+        account->parts[request->part].lends_from_us = now_us + reply->retry_us;
         handle_failure(holder, account, request->part, now_us);
     }
     quota_holder_check_requested(account);
--- a/core/quota_holder_waiters.c
+++ b/core/quota_holder_waiters.c
@@ -72,7 +72,7 @@
         }
         else {
             quota_holder_refuse_first(holder, account,
-                                      quota_holder_retry_us(account));
+                                      quota_holder_retry_us(account, now_us));
         }
     }
 }
--- a/core/quota_members.c
+++ b/core/quota_members.c
@@ -334,6 +334,13 @@
     return lessor == self_of(members)->name;
 }
 
+int64_t
+bv_quota_members_wait_us(const bv_quota_members_t *members, int64_t now_us)
+{
+    const candidate_t *self = self_of(members);
+    return self->is_settled ? 0 : MAX(0, self->settled_us - now_us);
+}
+
 int64_t
 bv_quota_members_since_us(const bv_quota_members_t *members)
 {
--- a/include/berylvane/core/quota.h
+++ b/include/berylvane/core/quota.h
@@ -79,7 +79,10 @@
      * window has room for it.
      */
     int64_t wait_us;
-    /* Time after which a refused caller should return. */
+    /*
+     * Time after which a refused caller should return; of a node that is not
+     * the lessor, the time until it may lend, 0 if it is not known.
+     */
     int64_t retry_us;
 } bv_quota_reply_t;
 
--- a/include/berylvane/core/quota_members.h
+++ b/include/berylvane/core/quota_members.h
@@ -63,6 +63,13 @@
 bool bv_quota_members_is_lessor(const bv_quota_members_t *members,
                                 const char *account, uint32_t part);
 
+/*
+ * Time until this node may lend, if it may not yet: after its start, a
+ * suspension, or while it was cut off; 0 if it may.
+ */
+int64_t bv_quota_members_wait_us(const bv_quota_members_t *members,
+                                 int64_t now_us);
+
 /*
  * Time from which this node has been the lessor of all parts that it is the
  * lessor of now.
--- a/node/quotas.c
+++ b/node/quotas.c
@@ -76,6 +76,9 @@
             quotas->lessor, now_us, bv_quota_members_since_us(quotas->members),
             request);
     }
+    else {
+        reply.retry_us = bv_quota_members_wait_us(quotas->members, now_us);
+    }
     bv_counter_add(reply.status == BV_QUOTA_GRANTED ? BV_COUNT_QUOTA_LENT
                                                     : BV_COUNT_QUOTA_NOT_LENT,
                    reply.status == BV_QUOTA_GRANTED ? reply.granted : 1);
--- a/tests/test_quota_holder.c
+++ b/tests/test_quota_holder.c
@@ -14,6 +14,8 @@
     uint64_t sequence;
     uint32_t admitted;
     uint32_t refused;
+    /* Time that the last refused call was told. */
+    int64_t retry_us;
     bv_quota_permit_t permit;
     /* Part of the last request. */
     uint32_t part;
@@ -58,7 +60,7 @@
 {
     holder_calls_t *calls = context;
     (void)waiter;
-    (void)retry_us;
+    calls->retry_us = retry_us;
     calls->refused++;
 }
 
@@ -199,6 +201,52 @@
 }
 END_TEST
 
+/* Times until which lessors lend nothing, as they state, and what follows. */
+typedef struct {
+    int64_t wait_us[BV_QUOTA_PARTS];
+    /* Time that is told to callers when all have answered. */
+    int64_t retry_us;
+    /* The same 1.5 s later. */
+    int64_t later_us;
+} started_case_t;
+
+static const started_case_t started_cases[] = {
+    {{0, 0, 0}, SECOND_US, SECOND_US},
+    {{3 * SECOND_US, 2 * SECOND_US, 4 * SECOND_US}, 2 * SECOND_US, SECOND_US},
+    {{0, 4 * SECOND_US, 0}, 4 * SECOND_US, 2500 * MS},
+    {{500 * MS, 500 * MS, 500 * MS}, SECOND_US, SECOND_US},
+};
+
+/*
+ * Guards against callers that are told to return before a lessor lends: after
+ * a restart of all nodes, they would be refused a second time.
+ */
+START_TEST(test_started_lessors)
+{
+    const started_case_t *row = &started_cases[_i];
+    holder_calls_t calls = {0};
+    bv_quota_permit_t permit;
+    int64_t retry_us;
+    bv_quota_holder_t *holder = create_holder(&calls, 0);
+    charge(holder, SECOND_US, &permit);
+    for (int i = 0; i < BV_QUOTA_PARTS; i++) {
+        bv_quota_reply_t reply = {ACCOUNT, calls.part, BV_QUOTA_NOT_LESSOR,
+                                  0,       0,          row->wait_us[i]};
+        ck_assert_uint_eq(calls.refused, 0);
+        ck_assert(bv_quota_holder_handle_reply(holder, SECOND_US,
+                                               calls.sequence, &reply));
+        bv_quota_holder_flush(holder, SECOND_US);
+    }
+    ck_assert_uint_eq(calls.refused, 1);
+    ck_assert_int_eq(calls.retry_us, row->retry_us);
+    ck_assert_int_eq(bv_quota_holder_charge(holder, 2500 * MS, ACCOUNT, 1,
+                                            &permit, &retry_us),
+                     BV_QUOTA_REFUSED);
+    ck_assert_int_eq(retry_us, row->later_us);
+    bv_quota_holder_destroy(holder);
+}
+END_TEST
+
 typedef struct {
     /* Times after the request of the permit. */
     int64_t replied_us;
@@ -273,6 +321,7 @@
         {"silent_lessors", test_silent_lessors, G_N_ELEMENTS(floor_cases)},
         {"one_silent_lessor", test_one_silent_lessor, 1},
         {"all_parts_refuse", test_all_parts_refuse, 1},
+        {"started_lessors", test_started_lessors, G_N_ELEMENTS(started_cases)},
         {"permit_expires", test_permit_expires, G_N_ELEMENTS(permit_cases)},
         {"leave", test_leave, 1},
         {NULL}};
--- a/tests/test_quota_members.c
+++ b/tests/test_quota_members.c
@@ -122,7 +122,10 @@
     ck_assert(bv_quota_members_is_lessor(members, ACCOUNT, 0));
     ck_assert(bv_quota_members_tick(members, 9 * SECOND_US, false));
     ck_assert(!bv_quota_members_is_lessor(members, ACCOUNT, 0));
+    ck_assert_int_eq(bv_quota_members_wait_us(members, 9 * SECOND_US),
+                     2 * SECOND_US);
     tick_until(members, 9 * SECOND_US, 11 * SECOND_US, &row);
+    ck_assert_int_eq(bv_quota_members_wait_us(members, 11 * SECOND_US), 0);
     ck_assert(bv_quota_members_is_lessor(members, ACCOUNT, 0));
     ck_assert_int_eq(bv_quota_members_since_us(members), 11 * SECOND_US);
     bv_quota_members_destroy(members);
