Routing: avoid members whose node answers nothing

Callers got 504 for 8% of the calls to all services for six seconds after two instances were lost, until these were evicted. 3,100 of the calls to one service ended that way in a trace of 6 s, about as many in each half second from the first to the last.

Cause: an attempt that is never answered says nothing to the router. While it hangs the member looks busy, but once it has timed out the member has nothing in flight and its last latencies, and looks better than its siblings. That its node does not answer was known: each caller's session with it asks for progress after 200 ms of silence and is replaced after 200 ms more.

From the replacement until a message arrives, the member is silent and chosen only if there is no other, in any tier. Silent members are asked for their progress at least each second, also without calls in flight, so that no call is needed to notice the return. A new incarnation is not silent. Log line peer_regained.

Ruled out: counting timeouts as failures of the outlier detection. It needs five in a row and never ejects a member of a tier with fewer than three, since a failing target may still be better than none; a silent one is not.

--- a/core/outgoing_sessions.c
+++ b/core/outgoing_sessions.c
@@ -15,6 +15,8 @@
     /* When a progress request was sent; 0 if none is open. */
     int64_t progress_requested_us;
     int64_t replace_after_us;
+    /* Replaced, and nothing has arrived since. */
+    bool is_silent;
 } session_t;
 
 struct bv_outgoing_sessions {
@@ -75,6 +77,7 @@
     if (session->number == 0 || incarnation > session->incarnation) {
         session->incarnation = incarnation;
         session->replace_after_us = sessions->options.replace_after_us;
+        session->is_silent = false;
         assign_number(sessions, session, now_us);
     }
     session->last_used_us = now_us;
@@ -132,6 +135,7 @@
                                       int64_t now_us, const char *member,
                                       uint64_t number)
 {
+    const bv_outgoing_sessions_options_t *options = &sessions->options;
     session_t *session = find_session(sessions, member);
     if (session == NULL || session->number != number) {
         return;
@@ -139,7 +143,12 @@
     session->last_received_us = now_us;
     session->silent_since_us = now_us;
     session->progress_requested_us = 0;
-    session->replace_after_us = sessions->options.replace_after_us;
+    session->replace_after_us = options->replace_after_us;
+    if (session->is_silent) {
+        session->is_silent = false;
+        options->regained(options->context, session->member,
+                          session->incarnation);
+    }
 }
 
 void
@@ -154,9 +163,12 @@
                 int64_t now_us)
 {
     const bv_outgoing_sessions_options_t *options = &sessions->options;
+    int64_t limit_us = session->unsettled_attempts > 0
+                           ? options->replace_limit_us
+                           : options->probe_limit_us;
     assign_number(sessions, session, now_us);
-    session->replace_after_us =
-        MIN(session->replace_after_us * 2, options->replace_limit_us);
+    session->replace_after_us = MIN(session->replace_after_us * 2, limit_us);
+    session->is_silent = true;
     options->replaced(options->context, session->member, session->incarnation,
                       session->number);
 }
@@ -189,7 +201,7 @@
     g_hash_table_iter_init(&iterator, sessions->by_member);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         session_t *session = value;
-        if (session->unsettled_attempts > 0) {
+        if (session->unsettled_attempts > 0 || session->is_silent) {
             handle_silence(sessions, session, now_us);
         }
         else if (now_us - session->last_used_us >=
--- a/core/router.c
+++ b/core/router.c
@@ -133,6 +133,7 @@
         entry->threshold = 0;
         entry->wait_us = 0;
         entry->first_called_us = 0;
+        entry->is_silent = false;
         bv_outlier_reset(&entry->outlier);
         bv_placement_reset(&entry->placement);
     }
@@ -141,6 +142,16 @@
     add_to_tier(router, entry);
 }
 
+void
+bv_router_set_silent(bv_router_t *router, const char *member,
+                     uint64_t incarnation, bool is_silent)
+{
+    entry_t *entry = g_hash_table_lookup(router->entries, member);
+    if (entry != NULL && entry->member.incarnation == incarnation) {
+        entry->is_silent = is_silent;
+    }
+}
+
 bool
 router_is_usable(const entry_t *entry, int64_t now_us)
 {
--- a/core/router_internal.h
+++ b/core/router_internal.h
@@ -37,6 +37,8 @@
     bv_tier_t tier;
     uint64_t rank;
     uint32_t in_flight;
+    /* The member answers nothing, not even requests for its progress. */
+    bool is_silent;
     uint16_t threshold;
     int64_t wait_us;
     int64_t reported_us;
@@ -59,6 +61,8 @@
     const bv_route_stats_t *route;
     /* The choice is made by expected completion times. */
     bool by_placement;
+    /* Silent members are chosen too, as there are no others. */
+    bool allows_silent;
 } choice_t;
 
 struct bv_router {
--- a/core/router_pick.c
+++ b/core/router_pick.c
@@ -72,7 +72,8 @@
     entry_t *chosen = NULL;
     for (guint i = 0; i < tier->len && usable->len < SUBSET_MEMBERS; i++) {
         entry_t *entry = tier->pdata[i];
-        if (is_excluded(entry, choice->request)) {
+        if (is_excluded(entry, choice->request) ||
+            (entry->is_silent && !choice->allows_silent)) {
             continue;
         }
         if (needs_probe(entry, choice->now_us)) {
@@ -131,7 +132,7 @@
 }
 
 static entry_t *
-choose_member(const choice_t *choice)
+choose_in_tiers(const choice_t *choice)
 {
     entry_t *chosen = NULL;
     for (int i = 0; i < BV_TIER_END; i++) {
@@ -146,6 +147,18 @@
     return chosen;
 }
 
+static entry_t *
+choose_member(choice_t *choice)
+{
+    choice->allows_silent = false;
+    entry_t *chosen = choose_in_tiers(choice);
+    if (chosen == NULL) {
+        choice->allows_silent = true;
+        chosen = choose_in_tiers(choice);
+    }
+    return chosen;
+}
+
 /* Stores what placement would choose instead of `chosen`. */
 static void
 observe_placement(choice_t *choice, const entry_t *chosen, bv_picked_t *picked)
--- a/include/berylvane/core/outgoing_sessions.h
+++ b/include/berylvane/core/outgoing_sessions.h
@@ -13,7 +13,9 @@
  * If a connection with unsettled attempts is silent, a progress request is
  * sent over it. If the silence goes on, the session is replaced by a new one.
  * The time until a replacement doubles with each replacement, until a message
- * arrives from the member.
+ * arrives from the member. From the first replacement until then the member
+ * counts as silent, and is asked for its progress whether attempts are
+ * unsettled or not, so that its return is noticed without a call.
  */
 typedef struct bv_outgoing_sessions bv_outgoing_sessions_t;
 
@@ -24,15 +26,22 @@
     int64_t replace_after_us;
     /* Upper limit of `replace_after_us` when it doubles. */
     int64_t replace_limit_us;
+    /* The same for a silent member without unsettled attempts. */
+    int64_t probe_limit_us;
     /* Time since its last use after which a session without unsettled attempts
      * is removed. */
     int64_t idle_limit_us;
     /* Sends a progress request over the session. */
     void (*request_progress)(void *context, const char *member,
                              uint64_t incarnation, uint64_t session);
-    /* Called after the member's session was replaced by `session`. */
+    /*
+     * Called after the member's session was replaced by `session`, as the
+     * member is silent.
+     */
     void (*replaced)(void *context, const char *member, uint64_t incarnation,
                      uint64_t session);
+    /* Called when a message arrives from a silent member. */
+    void (*regained)(void *context, const char *member, uint64_t incarnation);
     void *context;
 } bv_outgoing_sessions_options_t;
 
--- a/include/berylvane/core/router.h
+++ b/include/berylvane/core/router.h
@@ -108,6 +108,14 @@
  */
 void bv_router_update(bv_router_t *router, const bv_member_t *member);
 
+/*
+ * Sets whether a member is silent: its node answers nothing. Calls to it would
+ * only time out, and as none is in flight any more it would look idle. It is
+ * chosen only if no other member can be.
+ */
+void bv_router_set_silent(bv_router_t *router, const char *member,
+                          uint64_t incarnation, bool is_silent);
+
 /*
  * Chooses a member and counts one more call in flight to it. Returns false and
  * sets `reason` if no member can be called.
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -11,6 +11,8 @@
 #define SESSION_REPLACE_AFTER_US (200 * BV_US_PER_MS)
 /* Limit of SESSION_REPLACE_AFTER_US, which doubles with each replacement. */
 #define SESSION_REPLACE_LIMIT_US (8 * BV_US_PER_S)
+/* The same while no call waits for the member: how late its return is seen. */
+#define SILENT_PROBE_LIMIT_US BV_US_PER_S
 #define SESSION_IDLE_LIMIT_US (600 * BV_US_PER_S)
 #define SESSIONS_TICK_US (50 * BV_US_PER_MS)
 
@@ -406,6 +408,7 @@
     bv_counter_add(BV_COUNT_PROGRESS_REPLACED, 1);
     bv_log(BV_LOG_WARN, "peer_silent", "member", member, "session",
            BV_NUM((gint64)session), NULL);
+    bv_router_set_silent(node->router, member, incarnation, true);
     g_hash_table_iter_init(&iterator, node->attempts);
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         bv_call_state_t *state = value;
@@ -419,6 +422,14 @@
     }
 }
 
+static void
+on_member_regained(void *context, const char *member, uint64_t incarnation)
+{
+    const bv_node_t *node = context;
+    bv_log(BV_LOG_INFO, "peer_regained", "member", member, NULL);
+    bv_router_set_silent(node->router, member, incarnation, false);
+}
+
 void
 bv_calls_create_sessions(bv_node_t *node)
 {
@@ -426,9 +437,11 @@
         .request_progress_after_us = PROGRESS_QUERY_AFTER_US,
         .replace_after_us = SESSION_REPLACE_AFTER_US,
         .replace_limit_us = SESSION_REPLACE_LIMIT_US,
+        .probe_limit_us = SILENT_PROBE_LIMIT_US,
         .idle_limit_us = SESSION_IDLE_LIMIT_US,
         .request_progress = on_request_progress,
         .replaced = on_session_replaced,
+        .regained = on_member_regained,
         .context = node,
     };
     node->outgoing_sessions = bv_outgoing_sessions_create(&options);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -279,6 +279,14 @@
     }
 }
 
+static void
+on_regained(void *context, const char *member, uint64_t incarnation)
+{
+    (void)context;
+    (void)member;
+    (void)incarnation;
+}
+
 static void
 create_outgoing_sessions(network_t *network)
 {
@@ -286,9 +294,11 @@
         .request_progress_after_us = 4000,
         .replace_after_us = 4000,
         .replace_limit_us = 20000,
+        .probe_limit_us = 20000,
         .idle_limit_us = 100000,
         .request_progress = on_request_progress,
         .replaced = on_session_replaced,
+        .regained = on_regained,
         .context = network,
     };
     network->outgoing = bv_outgoing_sessions_create(&options);
