Requests: hedge idempotent calls that wait for a silent member

An idempotent call all of whose pending attempts are there is now hedged at that moment, once, and charged to the budget and the credits as other hedges are. The first attempt stays open, so that a late answer is still taken.

Hedges are sent from callbacks of the sessions' timer, which thus walks a list and not the table to which new sessions are added.

--- a/core/outgoing_sessions.c
+++ b/core/outgoing_sessions.c
@@ -196,19 +196,19 @@
 void
 bv_outgoing_sessions_tick(bv_outgoing_sessions_t *sessions, int64_t now_us)
 {
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, sessions->by_member);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        session_t *session = value;
+    /* A list, since the callbacks add sessions. */
+    GList *values = g_hash_table_get_values(sessions->by_member);
+    for (const GList *item = values; item != NULL; item = item->next) {
+        session_t *session = item->data;
         if (session->unsettled_attempts > 0 || session->is_silent) {
             handle_silence(sessions, session, now_us);
         }
         else if (now_us - session->last_used_us >=
                  sessions->options.idle_limit_us) {
-            g_hash_table_iter_remove(&iterator);
+            g_hash_table_remove(sessions->by_member, session->member);
         }
     }
+    g_list_free(values);
 }
 
 uint32_t
--- a/core/request.c
+++ b/core/request.c
@@ -266,6 +266,48 @@
     }
 }
 
+static bool
+is_attempt_at(const bv_attempt_t *attempt, const char *member,
+              uint64_t incarnation)
+{
+    return attempt->incarnation == incarnation &&
+           strcmp(attempt->member, member) == 0;
+}
+
+/* Whether attempts are pending, all at this member. */
+static bool
+waits_only_for(const bv_request_t *request, const char *member,
+               uint64_t incarnation)
+{
+    uint32_t pending = 0;
+    for (uint32_t i = 0; i < request->attempt_count; i++) {
+        const bv_attempt_t *attempt = &request->attempts[i];
+        if (attempt->state != BV_ATTEMPT_PENDING) {
+            continue;
+        }
+        if (!is_attempt_at(attempt, member, incarnation)) {
+            return false;
+        }
+        pending++;
+    }
+    return pending > 0;
+}
+
+void
+bv_request_member_silent(bv_request_t *request, int64_t now_us,
+                         const char *member, uint64_t incarnation)
+{
+    bv_reason_t reason;
+    if (request->is_done || request->hedge_tried ||
+        !request->options.is_idempotent || !may_retry(request, now_us) ||
+        !may_reach_another_target(request) ||
+        !waits_only_for(request, member, incarnation)) {
+        return;
+    }
+    request->hedge_tried = true;
+    dispatch_attempt(request, now_us, BV_HEDGE, &reason);
+}
+
 void
 bv_request_caller_gone(bv_request_t *request, int64_t now_us)
 {
--- a/include/berylvane/core/outgoing_sessions.h
+++ b/include/berylvane/core/outgoing_sessions.h
@@ -40,7 +40,10 @@
      */
     void (*replaced)(void *context, const char *member, uint64_t incarnation,
                      uint64_t session);
-    /* Called when a message arrives from a silent member. */
+    /*
+     * Called when a message arrives from a silent member. The callbacks may
+     * open sessions, and must not remove any.
+     */
     void (*regained)(void *context, const char *member, uint64_t incarnation);
     void *context;
 } bv_outgoing_sessions_options_t;
--- a/include/berylvane/core/request.h
+++ b/include/berylvane/core/request.h
@@ -144,6 +144,14 @@
 void bv_request_member_gone(bv_request_t *request, int64_t now_us,
                             const char *member, uint64_t incarnation);
 
+/*
+ * Reports that a member answers nothing. An idempotent call all of whose
+ * pending attempts were sent there is hedged at once; like other hedges, only
+ * once.
+ */
+void bv_request_member_silent(bv_request_t *request, int64_t now_us,
+                              const char *member, uint64_t incarnation);
+
 /* Reports that the caller is gone: cancels the pending attempts. */
 void bv_request_caller_gone(bv_request_t *request, int64_t now_us);
 
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -393,15 +393,30 @@
     send_progress_query(context, member, incarnation, session, 0);
 }
 
+/* Hedges the calls that wait for a silent member, and frees the list. */
+static void
+hedge_calls(bv_node_t *node, GPtrArray *calls, const char *member,
+            uint64_t incarnation)
+{
+    for (guint i = 0; i < calls->len; i++) {
+        const bv_call_state_t *state = calls->pdata[i];
+        bv_request_member_silent(state->request, node->now_us, member,
+                                 incarnation);
+    }
+    g_ptr_array_unref(calls);
+}
+
 /*
  * Queries, over the new session, the progress of each open attempt that was
- * sent to the member's incarnation.
+ * sent to the member's incarnation, and hedges the calls that wait for these.
  */
 static void
 on_session_replaced(void *context, const char *member, uint64_t incarnation,
                     uint64_t session)
 {
     bv_node_t *node = context;
+    /* Hedges add attempts, which must wait until the table is read. */
+    GPtrArray *calls = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer key;
     gpointer value;
@@ -418,8 +433,10 @@
             strcmp(attempt->member, member) == 0) {
             send_progress_query(node, member, incarnation, session,
                                 attempt->id);
+            g_ptr_array_add(calls, state);
         }
     }
+    hedge_calls(node, calls, member, incarnation);
 }
 
 static void
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -276,6 +276,8 @@
             message.session = session;
             network_send(network, message);
         }
+        bv_request_member_silent(record->request, network->now_us, member,
+                                 incarnation);
     }
 }
 
