Stand-in cluster: send SIGCONT only to processes that it paused

Seen: five tests (e2e_outcome, e2e_config, e2e_bad_input, soak twice) each reported once that a node had logged "stopped" and did not exit within 20 s of SIGTERM, always under the address sanitizer and never the first node of the deployment.

Cause: cluster_stop() sends SIGTERM to all nodes and then, node by node, SIGCONT and SIGTERM once more before it waits for the node. A node that is in its leak check at that moment hangs: the check runs at exit in a tracer process, which attaches to each thread with PTRACE_ATTACH and waits for the SIGSTOP of the attach. A SIGCONT discards pending stop signals, so the tracer waits for ever.

Evidence, on aarch64, of with the address sanitizer: - Four nodes stopped with the signals of cluster_stop(): orders-2 hung in the 10th cycle. gdb shows the tracer in waitpid() below ThreadSuspender::SuspendThread(); the node is its tracee ("tracing stop"). That run was broken off soon after. Two others of 48 and 480 stops had no hang: the window is short. - SIGCONT every 0 to 2 ms from "stopped" on: 11 of 24 stops hung, in each case that was looked at with the same stack of the tracer. A program of 20 lines without the project's code hung in 28 of 200 runs. - The same without any SIGCONT: 0 of 32 and 0 of 480 stops hung.

Ruled out by reading for these tests: the joins of the signal thread, the operator listener, the gossip thread, the HTTP clients and the log writer, none of which waits for ever there. That all five reports had this cause is likely but not shown.

Change: the cluster remembers which processes it paused and sends SIGCONT only to these.

--- a/include/berylvane/standin/cluster.h
+++ b/include/berylvane/standin/cluster.h
@@ -102,7 +102,10 @@
 /* Returns the folder with the record files of the targets. */
 const char *cluster_records_directory(const cluster_t *cluster);
 
-/* Sends the signal `number` to a process, if that is running. */
+/*
+ * Sends the signal `number` to a process, if that is running; SIGCONT only if
+ * cluster_signal() has paused the process with SIGSTOP.
+ */
 void cluster_signal(cluster_t *cluster, cluster_role_t role, size_t instance,
                     int number);
 
--- a/standin/cluster/internal.h
+++ b/standin/cluster/internal.h
@@ -17,6 +17,8 @@
     char *argument;
     GPid pid;
     bool running;
+    /* The last SIGSTOP was not followed by a SIGCONT. */
+    bool is_paused;
     /* Exit status, valid once the process has ended. */
     int status;
 } process_t;
@@ -63,8 +65,13 @@
  */
 int process_wait(process_t *process, int64_t timeout_us);
 
-/* Sends a signal if the process is running. */
-void process_signal(const process_t *process, int number);
+/*
+ * Sends a signal if the process is running. SIGCONT is sent only to a process
+ * that this function has paused: the signal discards the SIGSTOP by which the
+ * leak check of the address sanitizer stops the threads of a process that
+ * exits, and the check then waits for ever.
+ */
+void process_signal(process_t *process, int number);
 void process_clear(process_t *process);
 
 /* The kind of proxy that the deployment starts beside each target. */
--- a/standin/cluster/process.c
+++ b/standin/cluster/process.c
@@ -44,6 +44,7 @@
         g_build_filename(cluster->build_directory, process->program, NULL);
     char *arguments[] = {program, process->argument_name, process->argument,
                          NULL};
+    process->is_paused = false;
     process->running =
         g_spawn_async(NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
                       run_child_setup, &setup, &process->pid, error);
@@ -73,11 +74,15 @@
 }
 
 void
-process_signal(const process_t *process, int number)
+process_signal(process_t *process, int number)
 {
-    if (process->running) {
-        kill(process->pid, number);
+    if (!process->running || (number == SIGCONT && !process->is_paused)) {
+        return;
     }
+    if (number == SIGSTOP || number == SIGCONT) {
+        process->is_paused = number == SIGSTOP;
+    }
+    kill(process->pid, number);
 }
 
 void
