HTTP client: a stop waits neither for a poll nor for a resolver

Seen by reading the threads that a node joins when it exits:

- The client's thread checked for the stop and then cleared the event that wakes it.
A stop in between was lost, and the stop of the store's client or of the exporter took up to 1 s, the time-out of the poll.
- libcurl resolves names in a thread and joins it when a request ends.
If the resolver does not answer, the client's thread stood still with all its requests when one of them timed out, and a node could not exit.

Change: the check follows the clearing; CURLOPT_QUICK_EXIT detaches the resolver's thread.

Test: test_http_stop holds the thread in the first race, and replaces getaddrinfo() by one that never returns. Before, the first case polls once after the stop and the second does not end (killed after 8 s); now both pass. test_http_client (24 checks) and test_http_silent (8) pass under the address sanitizer.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -165,6 +165,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_lines);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    /* Else the end of a request waits for a resolver that does not answer. */
+    curl_easy_setopt(easy, CURLOPT_QUICK_EXIT, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -327,8 +329,12 @@
 {
     (void)thread;
     bv_http_client_t *client = data;
-    while (!g_atomic_int_get(&client->is_stopping)) {
+    for (;;) {
+        /* The wake-up of a stop that comes after the check is not cleared. */
         bv_ring_clear_event(client->ring);
+        if (g_atomic_int_get(&client->is_stopping)) {
+            break;
+        }
         run_commands(client);
         finish_completed_transfers(client);
         bv_http_poll_run(client->poll, POLL_LIMIT_MS);
