Node: bound each wait between "stopped" and the exit

Seen: five times in tests a node did not exit after it had logged "stopped".

Change: common/shutdown names eleven waits with bounds of 250 to 750 ms, 4.75 s together. A guard thread ends the process when a wait exceeds its bound: log event shutdown_wait_exceeded with the wait's name, exit status 16 plus its number. It counts its wake-ups, so that a paused process is not ended. With a sanitizer the bounds are three times as long, since the leak check runs in the last wait. - The log's thread gives up after 300 ms without progress (200 ms before) and the node then exits with 25, not 0: lines were lost. - bv_log_last() reports without allocating memory when the log has stopped.

Test: e2e_shutdown runs a node of which the linker redirects one call at a time to a function that never returns: 11 waits, an ordinary stop, and a log that nobody reads. Without the guard the first ten waits fail (exit not seen within 6 s; the last three cases were not reached, as the ranges of ports ran out); with it 13 of 13 pass, with the address sanitizer and without. The reordering for a full ring has no test of its own.

--- a/include/berylvane/common/program.h
+++ b/include/berylvane/common/program.h
@@ -12,6 +12,8 @@
 #define BV_EXIT_OK 0
 #define BV_EXIT_FAILED 1
 #define BV_EXIT_USAGE 2
+/* Plus the number of the wait that exceeded its bound; see shutdown.h. */
+#define BV_EXIT_SHUTDOWN 16
 
 /*
  * Initialises the libraries and ignores SIGPIPE. Blocks SIGTERM, SIGINT and
--- a/node/main.c
+++ b/node/main.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/log.h"
 #include "berylvane/common/program.h"
+#include "berylvane/common/shutdown.h"
 #include "berylvane/node/node.h"
 #include "berylvane/platform/dialect.h"
 
@@ -75,6 +76,23 @@
     bv_node_request_drain(context);
 }
 
+/*
+ * Frees the node and returns the exit status. Each wait up to the exit of the
+ * process has a bound.
+ */
+static int
+stop_node(apr_pool_t *pool, bv_node_t *node)
+{
+    bv_shutdown_start(pool);
+    bv_shutdown_begin(BV_SHUTDOWN_SIGNALS);
+    bv_program_unset_signal_handler();
+    bv_node_destroy(node);
+    bv_shutdown_begin(BV_SHUTDOWN_LOG);
+    bool is_log_written = bv_log_stop();
+    bv_shutdown_begin(BV_SHUTDOWN_EXIT);
+    return is_log_written ? BV_EXIT_OK : bv_shutdown_status(BV_SHUTDOWN_LOG);
+}
+
 static int
 run_node(apr_pool_t *pool, bv_settings_t *settings)
 {
@@ -94,10 +112,7 @@
     bv_program_set_signal_handler(pool, on_signal, node);
     bv_node_run(node);
     bv_log(BV_LOG_INFO, "stopped", NULL);
-    bv_program_unset_signal_handler();
-    bv_node_destroy(node);
-    bv_log_stop();
-    return BV_EXIT_OK;
+    return stop_node(pool, node);
 }
 
 int
--- a/node/node.c
+++ b/node/node.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/common/shutdown.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/call.h"
 #include "berylvane/node/memory.h"
@@ -411,19 +412,33 @@
 void
 bv_node_destroy(bv_node_t *node)
 {
+    bv_shutdown_begin(BV_SHUTDOWN_LISTENERS);
     close_listeners(node);
     for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
         bv_listener_stop(node->listeners[role]);
     }
+    bv_shutdown_begin(BV_SHUTDOWN_OPERATORS);
     bv_operator_listener_stop(node->operator_listener);
+    /*
+     * While the thread of another client is joined, nobody handles the ring of
+     * events; a flood of gossip could fill it, and the client's thread would
+     * wait for room.
+     */
+    bv_shutdown_begin(BV_SHUTDOWN_GOSSIP);
+    bv_gossip_stop(node->gossip);
+    bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_TARGET);
     bv_target_client_stop(node->target_client);
     bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_STORE);
     bv_store_stop(node->store);
     bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_COLLECTOR);
     bv_exporter_stop(node->exporter);
     node->exporter = NULL;
+    bv_shutdown_begin(BV_SHUTDOWN_PEERS);
     bv_link_stop(node->link);
-    bv_gossip_stop(node->gossip);
+    bv_shutdown_begin(BV_SHUTDOWN_STATE);
     bv_loop_run_events(node);
     bv_loop_run_events(node);
     bv_loop_destroy(node);
