Node: the signal thread does not wait for room in the ring of events

Seen by reading: a SIGTERM or SIGHUP that arrives when the ring of events is full makes the signal thread wait for room, with the lock of its handler held. After "stopped" nobody empties the ring, and the node waits for that lock: neither ends. cluster_stop() sends each node a second SIGTERM; the ring has to be full (16,384 events) at that moment, so this is not taken to be the cause of the hangs in the tests.

Change: the thread sets a flag and wakes the loop, which looks at the flags in each turn.

Test: e2e_shutdown, nothing_stalled, second case: the ring refuses events and a SIGTERM arrives between the end of the loop and the wait for the signal thread. Before, the node exits with 16 (wait "signals"); now with 0.

--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -146,6 +146,9 @@
     /* Last id given to an attempt, served work, a key query or a call. */
     uint64_t next_id;
     bool draining;
+    /* Requests of the signal thread; changed atomically. */
+    gint is_drain_requested;
+    gint is_reload_requested;
     bv_drain_t drain;
     int64_t next_tick_us;
 
@@ -226,15 +229,18 @@
 void bv_node_run(bv_node_t *node);
 void bv_node_destroy(bv_node_t *node);
 
-/* Requests a drain. May be called from the thread that handles signals. */
-void bv_node_request_drain(bv_node_t *node);
-
 /*
- * Requests that the settings file be read again. May be called from the thread
- * that handles signals.
+ * Requests a drain. May be called from the thread that handles signals; does
+ * not wait for room in the ring of events.
  */
+void bv_node_request_drain(bv_node_t *node);
+
+/* Requests in the same way that the settings file be read again. */
 void bv_node_request_reload(bv_node_t *node);
 
+/* Runs what was requested. */
+void bv_node_run_requests(bv_node_t *node);
+
 /*
  * Posts an event: the decision thread will call `run` with `data`. Returns
  * false, with `data` still owned by the caller, when the ring is full. Events
--- a/node/loop.c
+++ b/node/loop.c
@@ -215,6 +215,7 @@
     for (int i = 0; i < count; i++) {
         run_source(node, events[i].data.u32);
     }
+    bv_node_run_requests(node);
     run_local_events(node);
     bv_quotas_flush(node);
     run_local_events(node);
--- a/node/node.c
+++ b/node/node.c
@@ -308,29 +308,33 @@
 }
 
 static void
-run_drain_request(bv_node_t *node, void *data)
+request(bv_node_t *node, gint *is_requested)
 {
-    (void)data;
-    bv_node_start_drain(node);
+    g_atomic_int_set(is_requested, 1);
+    bv_ring_wake_consumer(node->events);
 }
 
 void
 bv_node_request_drain(bv_node_t *node)
 {
-    bv_node_post_blocking(node, run_drain_request, NULL);
+    request(node, &node->is_drain_requested);
 }
 
-static void
-run_reload_request(bv_node_t *node, void *data)
+void
+bv_node_request_reload(bv_node_t *node)
 {
-    (void)data;
-    bv_node_reload(node);
+    request(node, &node->is_reload_requested);
 }
 
 void
-bv_node_request_reload(bv_node_t *node)
+bv_node_run_requests(bv_node_t *node)
 {
-    bv_node_post_blocking(node, run_reload_request, NULL);
+    if (g_atomic_int_compare_and_exchange(&node->is_reload_requested, 1, 0)) {
+        bv_node_reload(node);
+    }
+    if (g_atomic_int_compare_and_exchange(&node->is_drain_requested, 1, 0)) {
+        bv_node_start_drain(node);
+    }
 }
 
 static void
--- a/tests/e2e/stalled_node.c
+++ b/tests/e2e/stalled_node.c
@@ -1,12 +1,15 @@
 #include "berylvane/collector/exporter.h"
 #include "berylvane/common/log.h"
 #include "berylvane/common/program.h"
+#include "berylvane/common/ring.h"
 #include "berylvane/node/memory.h"
+#include "berylvane/node/node.h"
 #include "berylvane/operator/listener.h"
 #include "berylvane/peer/gossip.h"
 #include "berylvane/platform/store.h"
 #include "berylvane/targets/client.h"
 
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -16,8 +19,16 @@
  * its work never ends: the wait that the environment variable
  * BERYLVANE_STALLED_WAIT names. The linker redirects the calls of the
  * functions below (--wrap), so that all else is the code of berylvane-node.
+ *
+ * The name "full ring" stalls no wait: a second SIGTERM arrives when the event
+ * loop has ended and the ring of events is full.
  */
 #define STALLED_WAIT "BERYLVANE_STALLED_WAIT"
+#define FULL_RING "full ring"
+/* Time for the signal thread to handle a signal. */
+#define SIGNAL_PAUSE_US 300000
+
+static gint is_ring_full;
 
 #define WRAPPED(result, name, ...)                                            \
     result __real_##name(__VA_ARGS__);                                        \
@@ -39,10 +50,26 @@
     }
 }
 
+WRAPPED(bool, bv_ring_push, bv_ring_t *ring, void *item)
+{
+    return !g_atomic_int_get(&is_ring_full) && __real_bv_ring_push(ring, item);
+}
+
+WRAPPED(void, bv_node_run, bv_node_t *node)
+{
+    __real_bv_node_run(node);
+    if (is_stalled(FULL_RING)) {
+        g_atomic_int_set(&is_ring_full, 1);
+        kill(getpid(), SIGTERM);
+        usleep(SIGNAL_PAUSE_US);
+    }
+}
+
 WRAPPED(void, bv_program_unset_signal_handler, void)
 {
     stall_if("signals");
     __real_bv_program_unset_signal_handler();
+    g_atomic_int_set(&is_ring_full, 0);
 }
 
 /* As if an operator's request were never answered. */
--- a/tests/e2e/test_shutdown.c
+++ b/tests/e2e/test_shutdown.c
@@ -136,12 +136,21 @@
 }
 END_TEST
 
-/* Guards against a bound that an ordinary stop exceeds. */
+/*
+ * Names that stall no wait: an ordinary stop, and a second SIGTERM when the
+ * event loop has ended and the ring of events is full.
+ */
+static const char *const clean_cases[] = {"none", "full ring"};
+
+/*
+ * Guards against a bound that an ordinary stop exceeds, and against a signal
+ * thread that waits for room in the ring while the node waits for the thread.
+ */
 START_TEST(test_nothing_stalled)
 {
     stalled_node_t node = {0};
     prepare_node(&node);
-    ck_assert_int_eq(run_until_exit(&node, "none"), BV_EXIT_OK);
+    ck_assert_int_eq(run_until_exit(&node, clean_cases[_i]), BV_EXIT_OK);
     ck_assert(!has_logged(&node, "shutdown_wait_exceeded"));
     clear_node(&node);
 }
@@ -230,7 +239,7 @@
     bv_program_start();
     const support_test_t tests[] = {
         {"stalled_wait", test_stalled_wait, BV_SHUTDOWN_END},
-        {"nothing_stalled", test_nothing_stalled, 1},
+        {"nothing_stalled", test_nothing_stalled, G_N_ELEMENTS(clean_cases)},
         {"unread_log", test_unread_log, 1},
         {NULL}};
     return support_run("shutdown", tests);
