--- a/node/node.c
+++ b/node/node.c
@@ -4,6 +4,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/common/shutdown.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/call.h"
 #include "berylvane/node/memory.h"
@@ -307,29 +308,33 @@
 }
 
 static void
-run_drain_request(bv_node_t *node, void *data)
+request(bv_node_t *node, gint *is_requested)
 {
-    (void)data;
-    bv_node_start_drain(node);
+    g_atomic_int_set(is_requested, 1);
+    bv_ring_wake_consumer(node->events);
 }
 
 void
 bv_node_request_drain(bv_node_t *node)
 {
-    bv_node_post_blocking(node, run_drain_request, NULL);
+    request(node, &node->is_drain_requested);
 }
 
-static void
-run_reload_request(bv_node_t *node, void *data)
+void
+bv_node_request_reload(bv_node_t *node)
 {
-    (void)data;
-    bv_node_reload(node);
+    request(node, &node->is_reload_requested);
 }
 
 void
-bv_node_request_reload(bv_node_t *node)
+bv_node_run_requests(bv_node_t *node)
 {
-    bv_node_post_blocking(node, run_reload_request, NULL);
+    if (g_atomic_int_compare_and_exchange(&node->is_reload_requested, 1, 0)) {
+        bv_node_reload(node);
+    }
+    if (g_atomic_int_compare_and_exchange(&node->is_drain_requested, 1, 0)) {
+        bv_node_start_drain(node);
+    }
 }
 
 static void
@@ -411,19 +416,33 @@
 void
 bv_node_destroy(bv_node_t *node)
 {
+    bv_shutdown_begin(BV_SHUTDOWN_LISTENERS);
     close_listeners(node);
     for (int role = 0; role < BV_LISTENER_ROLE_END; role++) {
         bv_listener_stop(node->listeners[role]);
     }
+    bv_shutdown_begin(BV_SHUTDOWN_OPERATORS);
     bv_operator_listener_stop(node->operator_listener);
+    /*
+     * While the thread of another client is joined, nobody handles the ring of
+     * events; a flood of gossip could fill it, and the client's thread would
+     * wait for room.
+     */
+    bv_shutdown_begin(BV_SHUTDOWN_GOSSIP);
+    bv_gossip_stop(node->gossip);
+    bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_TARGET);
     bv_target_client_stop(node->target_client);
     bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_STORE);
     bv_store_stop(node->store);
     bv_loop_run_events(node);
+    bv_shutdown_begin(BV_SHUTDOWN_COLLECTOR);
     bv_exporter_stop(node->exporter);
     node->exporter = NULL;
+    bv_shutdown_begin(BV_SHUTDOWN_PEERS);
     bv_link_stop(node->link);
-    bv_gossip_stop(node->gossip);
+    bv_shutdown_begin(BV_SHUTDOWN_STATE);
     bv_loop_run_events(node);
     bv_loop_run_events(node);
     bv_loop_destroy(node);
