Response header lines up to 64 KiB are passed on

Callers saw responses without some of their header lines: of a head of up to 64 KiB, the lines beyond 16 KiB were dropped without notice.

Cause: bv_headers_append() left out each line that did not fit into BV_HEADER_BLOCK_LIMIT_BYTES (16 KiB), and nothing reported it.

Change: the limit of a block is 64 KiB, and bv_headers_filter() returns a block whole or NULL. A response whose lines are longer is broken (broken_answer, log line target_answer_broken); that happens to heads of less than 64 KiB only if blanks that are added after colons make them longer.

--- a/common/headers.c
+++ b/common/headers.c
@@ -47,16 +47,6 @@
     g_string_append_len(block, LINE_END, strlen(LINE_END));
 }
 
-void
-bv_headers_append(GString *block, const char *name, const char *value)
-{
-    if (bv_header_is_forwarded(name) &&
-        block->len + strlen(name) + strlen(value) + 4 <=
-            BV_HEADER_BLOCK_LIMIT_BYTES) {
-        bv_headers_append_line(block, name, value);
-    }
-}
-
 /*
  * Cuts the first line off the text `*rest` and returns the line without its
  * CR LF. `*rest` is set to the following line, or to NULL after the last line.
@@ -99,7 +89,9 @@
 static void
 append_if_forwarded(void *context, const char *name, const char *value)
 {
-    bv_headers_append(context, name, value);
+    if (bv_header_is_forwarded(name)) {
+        bv_headers_append_line(context, name, value);
+    }
 }
 
 char *
@@ -107,7 +99,8 @@
 {
     GString *filtered = g_string_new(NULL);
     bv_headers_foreach(block, append_if_forwarded, filtered);
-    return g_string_free(filtered, FALSE);
+    bool is_too_long = filtered->len > BV_HEADER_BLOCK_LIMIT_BYTES;
+    return g_string_free(filtered, is_too_long);
 }
 
 char *
--- a/include/berylvane/common/headers.h
+++ b/include/berylvane/common/headers.h
@@ -20,8 +20,8 @@
 #define BV_HEADER_RAN_DIGEST "Berylvane-Ran-Digest"
 #define BV_HEADER_TRACEPARENT "traceparent"
 
-/* Longest block that bv_headers_append() makes. */
-#define BV_HEADER_BLOCK_LIMIT_BYTES 16384
+/* Longest block that is forwarded between caller and target. */
+#define BV_HEADER_BLOCK_LIMIT_BYTES (64 * 1024)
 
 /*
  * Whether a header is forwarded between caller and target. Hop-by-hop headers
@@ -34,14 +34,9 @@
                             const char *value);
 
 /*
- * Appends a header to `block` if the header is forwarded and the block stays
- * within BV_HEADER_BLOCK_LIMIT_BYTES; otherwise leaves the block as it is.
- */
-void bv_headers_append(GString *block, const char *name, const char *value);
-
-/*
- * Returns a new block with those headers of `block` that bv_headers_append()
- * accepts; the caller frees it with g_free().
+ * Returns a new block with those headers of `block` that are forwarded, or
+ * NULL if they exceed BV_HEADER_BLOCK_LIMIT_BYTES. The caller frees the block
+ * with g_free().
  */
 char *bv_headers_filter(const char *block);
 
--- a/targets/client.c
+++ b/targets/client.c
@@ -114,6 +114,37 @@
     }
 }
 
+static void
+log_broken(bv_target_client_t *client, const request_t *request,
+           const char *error)
+{
+    if (bv_log_budget_try_consume(&client->log_budget, bv_clock_now_us(),
+                                  BV_LOG_CLASS_FAILURE)) {
+        bv_log(BV_LOG_WARN, "target_answer_broken", "port",
+               BV_NUM(request->connection->endpoint.port), "error", error,
+               NULL);
+    }
+}
+
+/*
+ * Passes the response on. Its lines may be longer than those that the target
+ * sent, since a blank follows each colon.
+ */
+static void
+pass_on_response(bv_target_client_t *client, const request_t *request,
+                 const bv_http_answer_t *answer, bv_target_result_t *result)
+{
+    result->headers = bv_headers_filter(answer->headers);
+    if (result->headers == NULL) {
+        result->outcome = BV_OUTCOME_UNKNOWN;
+        result->reason = BV_REASON_BROKEN_ANSWER;
+        log_broken(client, request, BV_RESPONSE_HEAD_TOO_LARGE);
+        return;
+    }
+    result->status = answer->status;
+    result->body = g_bytes_ref(answer->body);
+}
+
 /* Sets the outcome, status, headers and body of a complete response. */
 static void
 take_response(bv_target_client_t *client, const request_t *request,
@@ -134,26 +165,11 @@
     dialect->classify_answer(dialect->context, &answer, result);
     apply_keep_alive(client, request, answer.headers);
     if (result->outcome == BV_OUTCOME_RAN) {
-        result->status = answer.status;
-        result->headers = bv_headers_filter(answer.headers);
-        result->body = g_bytes_ref(answer.body);
+        pass_on_response(client, request, &answer, result);
     }
     g_bytes_unref(answer.body);
 }
 
-static void
-log_broken(bv_target_client_t *client, const request_t *request,
-           int64_t now_us)
-{
-    const bv_target_connection_t *connection = request->connection;
-    if (bv_log_budget_try_consume(&client->log_budget, now_us,
-                                  BV_LOG_CLASS_FAILURE)) {
-        bv_log(BV_LOG_WARN, "target_answer_broken", "port",
-               BV_NUM(connection->endpoint.port), "error",
-               connection->response.error, NULL);
-    }
-}
-
 static void
 release_connection(bv_target_client_t *client, const request_t *request,
                    bv_target_progress_t progress, int64_t now_us)
@@ -201,7 +217,7 @@
         take_response(client, request, result);
     }
     else if (progress == BV_TARGET_BROKEN) {
-        log_broken(client, request, now_us);
+        log_broken(client, request, request->connection->response.error);
     }
     release_connection(client, request, progress, now_us);
     remove_request(client, request);
--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -537,35 +537,88 @@
 }
 END_TEST
 
+/* A response whose header lines fill a head of this size. */
 typedef struct {
     size_t head_bytes;
+    /* Written until the head is full; the last one may be cut short. */
+    const char *line;
     bv_outcome_t outcome;
 } head_case_t;
 
+#define LONG_VALUE NULL
+
 static const head_case_t head_cases[] = {
-    {16 * 1024, RAN},     {64 * 1024, RAN},      {64 * 1024 + 1, UNKNOWN},
-    {79 * 1024, UNKNOWN}, {200 * 1024, UNKNOWN},
+    {16 * 1024, LONG_VALUE, RAN},
+    {64 * 1024, LONG_VALUE, RAN},
+    {64 * 1024, "B: 1\r\n", RAN},
+    {64 * 1024 + 1, LONG_VALUE, UNKNOWN},
+    {79 * 1024, LONG_VALUE, UNKNOWN},
+    {200 * 1024, LONG_VALUE, UNKNOWN},
+    /* Blanks after the colons are added, by which the lines grow. */
+    {40 * 1024, "B:\r\n", RAN},
+    {60 * 1024, "B:\r\n", UNKNOWN},
 };
 
-/* Guards against the limit of http_parser in place of the documented one. */
+static GString *
+make_head(const head_case_t *row)
+{
+    const char *end = "\r\nContent-Length: 0\r\n\r\n";
+    size_t lines_bytes = row->head_bytes - strlen(end);
+    GString *head = g_string_new(OK);
+    while (row->line != LONG_VALUE &&
+           head->len + strlen(row->line) + 4 <= lines_bytes) {
+        g_string_append(head, row->line);
+    }
+    g_string_append(head, "A: ");
+    while (head->len < lines_bytes) {
+        g_string_append_c(head, 'a');
+    }
+    return g_string_append(head, end);
+}
+
+/* Returns the lines that the caller is to receive; both are freed. */
+static char *
+forwarded_lines(const GString *head)
+{
+    const char *first = head->str + strlen("HTTP/1.1 200 OK\r\n");
+    const char *last = strstr(first, "Content-Length");
+    char *lines = g_strndup(first, (gsize)(last - first));
+    char **parts = g_strsplit(lines, "B:\r\n", -1);
+    char *forwarded = g_strjoinv("B: \r\n", parts);
+    g_strfreev(parts);
+    g_free(lines);
+    return forwarded;
+}
+
+/*
+ * Guards against the limit of http_parser in place of the documented one, and
+ * against header lines that are dropped although the head is within it.
+ */
 START_TEST(test_head_limit)
 {
     const head_case_t *row = &head_cases[_i];
     fixture_t fixture;
-    GString *reply_bytes = g_string_new(OK "A: ");
-    const char *end = "\r\nContent-Length: 0\r\n\r\n";
-    while (reply_bytes->len < row->head_bytes - strlen(end)) {
-        g_string_append_c(reply_bytes, 'a');
-    }
-    g_string_append(reply_bytes, end);
-    const scripted_reply_t reply = {.bytes = reply_bytes->str};
+    GString *head = make_head(row);
+    ck_assert_uint_eq(head->len, row->head_bytes);
+    const scripted_reply_t reply = {.bytes = head->str};
     fixture_start(&fixture, &reply, 1);
     bv_target_work_t work = work_of(&fixture, "GET", "/a");
     const bv_target_result_t *result = run_work(&fixture, &work);
-    ck_assert_msg(result->outcome == row->outcome, "%zu bytes: outcome %d",
-                  row->head_bytes, result->outcome);
+    check_result(
+        row->line != NULL ? row->line : "long value", result, row->outcome,
+        row->outcome == RAN ? BV_REASON_NONE : BV_REASON_BROKEN_ANSWER);
+    if (row->outcome == RAN) {
+        char *expected = forwarded_lines(head);
+        ck_assert_msg(strcmp(result->headers, expected) == 0,
+                      "%zu of %zu bytes passed on", strlen(result->headers),
+                      strlen(expected));
+        g_free(expected);
+    }
+    else {
+        ck_assert_ptr_null(result->headers);
+    }
     fixture_stop(&fixture);
-    g_string_free(reply_bytes, TRUE);
+    g_string_free(head, TRUE);
 }
 END_TEST
 
