A node without descriptors does not take its target for unreachable

Callers got 503 for all work of a node that had for a moment no descriptor for a new connection to its target, until the target was heard again: the target counted as unreachable.

Cause: open_socket() reported EMFILE and ENFILE like an address that takes no connection, so that the result was not run with the reason connect, at which node/serve marks the target.

Change: the reason descriptors, not run, counted (reason_descriptors) and logged (descriptors_exhausted, within the budget of refusals); the target's state stays. A node of an earlier version rejects a message with an unknown reason, so that peer/message tells queue_full in its place, in the digest too. Callers beside the same node see descriptors.

--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -41,6 +41,7 @@
     X(QUOTA, "quota")                                                         \
     X(CONNECTION_LOST, "connection_lost")                                     \
     X(NO_MEMORY, "no_memory")                                                 \
-    X(BODY_TOO_LARGE, "body_too_large")
+    X(BODY_TOO_LARGE, "body_too_large")                                       \
+    X(DESCRIPTORS, "descriptors")
 
 #endif
--- a/node/serve.c
+++ b/node/serve.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/invariant.h"
+#include "berylvane/common/log.h"
 #include "berylvane/core/local_retry.h"
 #include "berylvane/node/call.h"
 #include "berylvane/node/memory.h"
@@ -497,6 +498,18 @@
     return true;
 }
 
+/* The target is not at fault, so that its state does not change. */
+static void
+report_no_descriptors(bv_node_t *node)
+{
+    bv_node_count_reason(BV_REASON_DESCRIPTORS);
+    if (bv_log_budget_try_consume(&node->log_budget, node->now_us,
+                                  BV_LOG_CLASS_REFUSAL)) {
+        bv_log(BV_LOG_WARN, "descriptors_exhausted", "port",
+               BV_NUM(node->target.last_announcement.port), NULL);
+    }
+}
+
 void
 bv_serve_handle_result(bv_node_t *node, void *data)
 {
@@ -522,6 +535,9 @@
     if (result->reason == BV_REASON_CONNECT) {
         bv_target_set_unreachable(node);
     }
+    else if (result->reason == BV_REASON_DESCRIPTORS) {
+        report_no_descriptors(node);
+    }
     bv_node_placement_record(node, served, result);
     if (served->admitted) {
         release_slot(node, served, result);
--- a/peer/message.c
+++ b/peer/message.c
@@ -65,11 +65,26 @@
     return XXH3_64bits_withSeed(non_null, strlen(non_null), seed);
 }
 
+/*
+ * Returns the reason that peers are told. A node of an earlier version rejects
+ * a message with a number that it does not know; all of them know queue_full,
+ * by which the work has not run and the target counts as reachable.
+ */
+static bv_reason_t
+told_reason(bv_reason_t reason)
+{
+    return reason == BV_REASON_DESCRIPTORS ? BV_REASON_QUEUE_FULL : reason;
+}
+
 uint64_t
 bv_peer_message_digest(const bv_peer_message_t *message)
 {
-    uint64_t numbers[] = {message->kind,    message->attempt, message->credit,
-                          message->outcome, message->reason,  message->status};
+    uint64_t numbers[] = {message->kind,
+                          message->attempt,
+                          message->credit,
+                          message->outcome,
+                          told_reason(message->reason),
+                          message->status};
     gsize size = 0;
     const void *body =
         message->body != NULL ? g_bytes_get_data(message->body, &size) : NULL;
@@ -132,7 +147,7 @@
 pack_answer(msgpack_packer *packer, const bv_peer_message_t *message)
 {
     msgpack_pack_uint64(packer, message->outcome);
-    msgpack_pack_uint64(packer, message->reason);
+    msgpack_pack_uint64(packer, told_reason(message->reason));
     msgpack_pack_uint64(packer, message->status);
     msgpack_pack_uint64(packer, message->threshold);
     msgpack_pack_uint64(packer, (uint64_t)MAX(message->wait_us, 0));
--- a/targets/client.c
+++ b/targets/client.c
@@ -259,6 +259,10 @@
         finish_request(client, request, progress, BV_OUTCOME_UNKNOWN,
                        BV_REASON_BROKEN_ANSWER);
         return;
+    case BV_TARGET_NO_DESCRIPTORS:
+        finish_request(client, request, progress, BV_OUTCOME_NOT_RUN,
+                       BV_REASON_DESCRIPTORS);
+        return;
     }
 }
 
@@ -449,28 +453,31 @@
     return request;
 }
 
-static void
+/* Returns BV_TARGET_BUSY if the request has a connection. */
+static bv_target_progress_t
 connect_request(bv_target_client_t *client, const bv_target_work_t *work,
                 request_t *request)
 {
     bv_target_endpoint_t endpoint = endpoint_of(work);
+    bv_target_progress_t refusal;
     if (request->keeps_connection) {
         request->connection =
             bv_target_pool_take(&client->pool, &endpoint, request->started_us);
     }
     if (request->connection == NULL) {
         request->connection =
-            bv_target_connection_open(&client->poll, &endpoint);
+            bv_target_connection_open(&client->poll, &endpoint, &refusal);
     }
+    return request->connection != NULL ? BV_TARGET_BUSY : refusal;
 }
 
 void
 bv_target_client_send(bv_target_client_t *client, const bv_target_work_t *work)
 {
     request_t *request = create_request(client, work);
-    connect_request(client, work, request);
+    bv_target_progress_t progress = connect_request(client, work, request);
     if (request->connection == NULL) {
-        handle_progress(client, request, BV_TARGET_NOT_SENT);
+        handle_progress(client, request, progress);
         return;
     }
     write_head(client, work, &request->head);
--- a/targets/connection.c
+++ b/targets/connection.c
@@ -68,18 +68,24 @@
     return 0;
 }
 
+/* Returns -1, and sets `refusal`, if the system refuses the connection. */
 static int
-open_socket(const bv_target_endpoint_t *endpoint)
+open_socket(const bv_target_endpoint_t *endpoint,
+            bv_target_progress_t *refusal)
 {
     struct sockaddr_storage address;
     socklen_t size = read_address(endpoint, &address);
     int is_on = 1;
+    *refusal = BV_TARGET_NOT_SENT;
     if (size == 0) {
         return -1;
     }
     int fd = socket(address.ss_family,
                     SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) {
+        if (errno == EMFILE || errno == ENFILE) {
+            *refusal = BV_TARGET_NO_DESCRIPTORS;
+        }
         return -1;
     }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &is_on, sizeof(is_on));
@@ -93,9 +99,10 @@
 
 bv_target_connection_t *
 bv_target_connection_open(bv_target_poll_t *poll,
-                          const bv_target_endpoint_t *endpoint)
+                          const bv_target_endpoint_t *endpoint,
+                          bv_target_progress_t *refusal)
 {
-    int fd = open_socket(endpoint);
+    int fd = open_socket(endpoint, refusal);
     if (fd < 0) {
         return NULL;
     }
--- a/targets/connection.h
+++ b/targets/connection.h
@@ -62,7 +62,7 @@
     int64_t idle_since_us;
 } bv_target_connection_t;
 
-/* State of a request. After the last four the request has ended. */
+/* State of a request. After the last five the request has ended. */
 typedef enum {
     BV_TARGET_BUSY,
     /*
@@ -76,6 +76,8 @@
     /* A kept-alive connection closed before the first byte of the response. */
     BV_TARGET_LOST,
     BV_TARGET_BROKEN,
+    /* The process or the system has no descriptor for a new connection. */
+    BV_TARGET_NO_DESCRIPTORS,
 } bv_target_progress_t;
 
 void bv_target_poll_init(bv_target_poll_t *poll);
@@ -87,10 +89,14 @@
 bool bv_target_endpoint_equal(const bv_target_endpoint_t *a,
                               const bv_target_endpoint_t *b);
 
-/* Starts to connect. Returns NULL if the system refuses that at once. */
+/*
+ * Starts to connect. If the system refuses that at once, returns NULL and sets
+ * `refusal` to BV_TARGET_NOT_SENT or BV_TARGET_NO_DESCRIPTORS.
+ */
 bv_target_connection_t *
 bv_target_connection_open(bv_target_poll_t *poll,
-                          const bv_target_endpoint_t *endpoint);
+                          const bv_target_endpoint_t *endpoint,
+                          bv_target_progress_t *refusal);
 
 /* Closes the connection, which is freed by bv_target_poll_reap(). */
 void bv_target_connection_close(bv_target_connection_t *connection);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -85,6 +85,41 @@
 }
 END_TEST
 
+/* A reason of this version, and the one that peers are told. */
+static const struct {
+    bv_reason_t reason;
+    bv_reason_t told;
+} reason_cases[] = {
+    {BV_REASON_NONE, BV_REASON_NONE},
+    {BV_REASON_CONNECT, BV_REASON_CONNECT},
+    {BV_REASON_BODY_TOO_LARGE, BV_REASON_BODY_TOO_LARGE},
+    {BV_REASON_DESCRIPTORS, BV_REASON_QUEUE_FULL},
+};
+
+/*
+ * Guards against an answer that a node of an earlier version rejects because
+ * it does not know the number of the reason, or because the digest was made of
+ * another one.
+ */
+START_TEST(test_told_reason)
+{
+    bv_peer_message_t *message = bv_peer_message_create(BV_PEER_ANSWER);
+    g_strlcpy(message->from, "stock-1", BV_NAME_BYTES);
+    message->reason = reason_cases[_i].reason;
+    message->digest = bv_peer_message_digest(message);
+    GBytes *bytes = bv_peer_message_encode(message);
+    gsize size;
+    const void *data = g_bytes_get_data(bytes, &size);
+    bv_peer_message_t *decoded = bv_peer_message_decode(data, size, NULL);
+    ck_assert_ptr_nonnull(decoded);
+    ck_assert_int_eq(decoded->reason, reason_cases[_i].told);
+    ck_assert_uint_eq(bv_peer_message_digest(decoded), decoded->digest);
+    bv_peer_message_destroy(decoded);
+    bv_peer_message_destroy(message);
+    g_bytes_unref(bytes);
+}
+END_TEST
+
 static const struct {
     size_t body_bytes;
     bool is_shared;
@@ -387,6 +422,7 @@
     support_parse_arguments(argc, argv);
     const support_test_t tests[] = {
         {"round_trip", test_round_trip, 1},
+        {"told_reason", test_told_reason, G_N_ELEMENTS(reason_cases)},
         {"frame", test_frame, G_N_ELEMENTS(frame_cases)},
         {"truncated_frame", test_truncated_frame, 1},
         {"damaged", test_damaged, 1},
--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 /*
@@ -622,6 +623,56 @@
 }
 END_TEST
 
+/* What the system refuses a socket with, and the reason of the result. */
+typedef struct {
+    int error;
+    bv_reason_t reason;
+} refusal_case_t;
+
+static const refusal_case_t refusal_cases[] = {
+    {EMFILE, BV_REASON_DESCRIPTORS},
+    {ENFILE, BV_REASON_DESCRIPTORS},
+    {EACCES, BV_REASON_CONNECT},
+    {EAFNOSUPPORT, BV_REASON_CONNECT},
+};
+
+/* If not 0, socket() below fails with it. */
+static int socket_error;
+
+/* Replaces the function of the C library in this program. */
+int
+socket(int family, int type, int protocol)
+{
+    if (socket_error != 0) {
+        errno = socket_error;
+        return -1;
+    }
+    return (int)syscall(SYS_socket, family, type, protocol);
+}
+
+/*
+ * Guards against a target that counts as unreachable because the node itself
+ * has no descriptor left. The next request finds the client as before.
+ */
+START_TEST(test_no_descriptors)
+{
+    const refusal_case_t *row = &refusal_cases[_i];
+    fixture_t fixture;
+    const scripted_reply_t reply = {.bytes = OK_BODY};
+    fixture_start(&fixture, &reply, 1);
+    bv_target_work_t work = work_of(&fixture, "POST", "/a");
+    socket_error = row->error;
+    send_work(&fixture, &work);
+    socket_error = 0;
+    check_result(g_strerror(row->error), fixture.result, BV_OUTCOME_NOT_RUN,
+                 row->reason);
+    work = work_of(&fixture, "POST", "/b");
+    check_result("after it", run_work(&fixture, &work), RAN, BV_REASON_NONE);
+    ck_assert_uint_eq(scripted_target_arrivals(fixture.target), 1);
+    fixture_stop(&fixture);
+}
+END_TEST
+
 /* What happens before the second of two requests. */
 typedef struct {
     const char *name;
@@ -763,8 +814,10 @@
 put_connections(bv_target_pool_t *pool, bv_target_poll_t *poll,
                 const bv_target_endpoint_t *endpoint, uint32_t count)
 {
+    bv_target_progress_t refusal;
     for (uint32_t i = 0; i < count; i++) {
-        bv_target_pool_put(pool, bv_target_connection_open(poll, endpoint), 0);
+        bv_target_pool_put(
+            pool, bv_target_connection_open(poll, endpoint, &refusal), 0);
     }
 }
 
@@ -1092,6 +1145,7 @@
         {"cut_answers", test_cut_answers, G_N_ELEMENTS(whole_answers)},
         {"split_answers", test_split_answers, G_N_ELEMENTS(whole_answers)},
         {"folded_value", test_folded_value, 1},
+        {"no_descriptors", test_no_descriptors, G_N_ELEMENTS(refusal_cases)},
         {"head_limit", test_head_limit, G_N_ELEMENTS(head_cases)},
         {"reuse", test_reuse, G_N_ELEMENTS(reuse_cases)},
         {"idle_connection_is_closed_at_once",
