Header lines that blanks make longer pass as well

A head within its limit of 64 KiB could still be broken, or get 431, if its lines exceeded 64 KiB only because a blank is written after each colon.

Cause: the block was judged a second time after it was written anew. The readers of heads bound it already (64 KiB), lines grow by at most a quarter, and peers take 128 KiB.

Change: bv_headers_filter() has no limit of its own. A head of more than 64 KiB is still broken or gets 431.

--- a/caller/own_dialect.c
+++ b/caller/own_dialect.c
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #define TIMEOUT_LIMIT_MS 600000
-#define STATUS_HEADERS_TOO_LARGE 431
 #define ANNOUNCEMENT_PREFIX "/berylvane/"
 
 static uint16_t
@@ -34,7 +33,7 @@
         call->timeout_us = (int64_t)timeout_ms * BV_US_PER_MS;
     }
     g_free(timeout);
-    return call->headers != NULL ? 0 : STATUS_HEADERS_TOO_LARGE;
+    return 0;
 }
 
 static void
--- a/common/headers.c
+++ b/common/headers.c
@@ -99,8 +99,7 @@
 {
     GString *filtered = g_string_new(NULL);
     bv_headers_foreach(block, append_if_forwarded, filtered);
-    bool is_too_long = filtered->len > BV_HEADER_BLOCK_LIMIT_BYTES;
-    return g_string_free(filtered, is_too_long);
+    return g_string_free(filtered, FALSE);
 }
 
 char *
--- a/include/berylvane/common/headers.h
+++ b/include/berylvane/common/headers.h
@@ -20,9 +20,6 @@
 #define BV_HEADER_RAN_DIGEST "Berylvane-Ran-Digest"
 #define BV_HEADER_TRACEPARENT "traceparent"
 
-/* Longest block that is forwarded between caller and target. */
-#define BV_HEADER_BLOCK_LIMIT_BYTES (64 * 1024)
-
 /*
  * Whether a header is forwarded between caller and target. Hop-by-hop headers
  * and headers that a node sets itself are not forwarded.
@@ -34,9 +31,9 @@
                             const char *value);
 
 /*
- * Returns a new block with those headers of `block` that are forwarded, or
- * NULL if they exceed BV_HEADER_BLOCK_LIMIT_BYTES. The caller frees the block
- * with g_free().
+ * Returns a new block with those headers of `block` that are forwarded; the
+ * caller frees it with g_free(). Who reads the head bounds its size. Lines
+ * grow by up to a quarter, since a blank follows each colon.
  */
 char *bv_headers_filter(const char *block);
 
--- a/targets/client.c
+++ b/targets/client.c
@@ -126,25 +126,6 @@
     }
 }
 
-/*
- * Passes the response on. Its lines may be longer than those that the target
- * sent, since a blank follows each colon.
- */
-static void
-pass_on_response(bv_target_client_t *client, const request_t *request,
-                 const bv_http_answer_t *answer, bv_target_result_t *result)
-{
-    result->headers = bv_headers_filter(answer->headers);
-    if (result->headers == NULL) {
-        result->outcome = BV_OUTCOME_UNKNOWN;
-        result->reason = BV_REASON_BROKEN_ANSWER;
-        log_broken(client, request, BV_RESPONSE_HEAD_TOO_LARGE);
-        return;
-    }
-    result->status = answer->status;
-    result->body = g_bytes_ref(answer->body);
-}
-
 /* Sets the outcome, status, headers and body of a complete response. */
 static void
 take_response(bv_target_client_t *client, const request_t *request,
@@ -165,7 +146,9 @@
     dialect->classify_answer(dialect->context, &answer, result);
     apply_keep_alive(client, request, answer.headers);
     if (result->outcome == BV_OUTCOME_RAN) {
-        pass_on_response(client, request, &answer, result);
+        result->status = answer.status;
+        result->headers = bv_headers_filter(answer.headers);
+        result->body = g_bytes_ref(answer.body);
     }
     g_bytes_unref(answer.body);
 }
