Responses of the target wait in their sockets while memory is short

A node beside a target read all its responses at the rate of the target, however little memory was left: up to 48 MB of unfinished ones, of which the largest were then ended as broken.

Cause: the client of the target had a limit of its own and did not know the process's memory account. At the bound, a caller's connection that the node itself did not read had the lowest rate and was closed first.

Change: bv_target_client_options_t has may_read(). From 50% of the bound on, one response of more than 64 KiB is read at a time until it is complete or its target sends nothing for 1 s; small ones are read at all times, and what has arrived is read at its deadline, as before. At the bound that one waits too, while what callers read and peers take would bring the use below the bound (bv_byte_account_can_relieve()), so that nothing waits for itself. Connections that are paused are the last victims. Counter answers_paused.

Evidence: without the call of may_read(), two of three rows of pause in test_target_client fail (614400 bytes received in place of 409600 and 307200); with the former ranking, three of four new rows of victims in test_byte_account.

--- a/core/byte_account.c
+++ b/core/byte_account.c
@@ -284,15 +284,26 @@
            (double)(current_rate(holder) + MIN_RATE_BYTES_PER_S);
 }
 
+bool
+bv_byte_account_can_relieve(const bv_byte_account_t *account, uint64_t bytes)
+{
+    uint64_t relieved_bytes = account->holders_bytes + bytes;
+    return account->used_bytes < account->options.bound_bytes + relieved_bytes;
+}
+
 /*
- * Whether closing connections can bring the use below the bound. If caches and
- * queues alone fill the account, closing every caller would not.
+ * Whether `holder` is to be closed before `other`. One that the process itself
+ * does not read cannot make progress, so that its rate says nothing.
  */
 static bool
-can_closing_relieve(const bv_byte_account_t *account)
+is_closed_before(const bv_byte_holder_t *holder, const bv_byte_holder_t *other)
 {
-    return account->used_bytes - account->holders_bytes <
-           account->options.bound_bytes;
+    if (other == NULL) {
+        return true;
+    }
+    return holder->is_paused == other->is_paused
+               ? seconds_left(holder) > seconds_left(other)
+               : other->is_paused;
 }
 
 bv_byte_holder_t *
@@ -303,15 +314,16 @@
     if (level == BV_BYTES_NORMAL) {
         return NULL;
     }
-    bool closes_any = level == BV_BYTES_FULL && can_closing_relieve(account);
+    /* If caches and queues alone fill the account, closing does not help. */
+    bool closes_any =
+        level == BV_BYTES_FULL && bv_byte_account_can_relieve(account, 0);
     for (guint i = 0; i < account->holders->len; i++) {
         bv_byte_holder_t *holder = account->holders->pdata[i];
         renew_period(holder, now_us);
         bool may_close = holder->is_waiting &&
                          holder->bytes > BV_BYTE_HOLDER_OWN_BYTES &&
                          (closes_any || is_stalled(account, holder, now_us));
-        if (may_close &&
-            (victim == NULL || seconds_left(holder) > seconds_left(victim))) {
+        if (may_close && is_closed_before(holder, victim)) {
             victim = holder;
         }
     }
--- a/include/berylvane/core/byte_account.h
+++ b/include/berylvane/core/byte_account.h
@@ -137,7 +137,17 @@
 bool bv_byte_account_may_read(const bv_byte_account_t *account,
                               uint64_t bytes);
 
-/* Returns the holder that is to be closed next, or NULL. */
+/*
+ * Whether the use falls below the bound once the holders hold nothing and
+ * `bytes` without a holder are released.
+ */
+bool bv_byte_account_can_relieve(const bv_byte_account_t *account,
+                                 uint64_t bytes);
+
+/*
+ * Returns the holder that is to be closed next, or NULL. Those that are paused
+ * come last.
+ */
 bv_byte_holder_t *bv_byte_account_victim(bv_byte_account_t *account,
                                          int64_t now_us);
 
--- a/include/berylvane/node/memory.h
+++ b/include/berylvane/node/memory.h
@@ -45,6 +45,14 @@
 bool bv_memory_refuses(const bv_node_t *node,
                        const bv_peer_message_t *dispatch);
 
+/*
+ * Whether more may be read of a response of the local target of which `bytes`
+ * were received. While memory is short, one large response at a time goes on
+ * (`has_turn`), and all small ones. At the bound that one waits as well, until
+ * callers and peers have taken what is ready for them.
+ */
+bool bv_memory_may_receive(bv_node_t *node, size_t bytes, bool has_turn);
+
 /* Work for the local target was accepted, or has ended. */
 void bv_memory_work_added(bv_node_t *node, const bv_peer_message_t *dispatch);
 void bv_memory_work_removed(bv_node_t *node,
--- a/include/berylvane/targets/client.h
+++ b/include/berylvane/targets/client.h
@@ -32,6 +32,14 @@
      * most.
      */
     size_t answers_limit_bytes;
+    /*
+     * Whether more may be read of an answer of which `bytes` of the body were
+     * received. One of those that may not be read has the turn: it is asked
+     * for again with `has_turn` set. What may not be read stays in the socket;
+     * it is tried again after some milliseconds, and read at the deadline.
+     * NULL for always.
+     */
+    bool (*may_read)(void *context, size_t bytes, bool has_turn);
     /* Borrowed; NULL for berylvane's own dialect. */
     const bv_target_dialect_t *dialect;
     /*
@@ -55,8 +63,8 @@
 int bv_target_client_fd(const bv_target_client_t *client);
 
 /*
- * Returns when the next request expires, INT64_MAX if there is none, or 0 if
- * input is left to be read.
+ * Returns when the next request expires or unread input is to be looked at
+ * again, INT64_MAX if there is none, or 0 if input can be read at once.
  */
 int64_t bv_target_client_next_timer_us(const bv_target_client_t *client);
 
--- a/node/memory.c
+++ b/node/memory.c
@@ -274,6 +274,32 @@
                  (int64_t)bv_byte_account_peak(memory->account));
 }
 
+/*
+ * Whether what callers read, and what peers take, brings the use below the
+ * bound. Otherwise a response that goes on is what frees memory.
+ */
+static bool
+do_readers_relieve(const bv_node_t *node)
+{
+    return bv_byte_account_can_relieve(node->account,
+                                       bv_link_queued_bytes(node->link));
+}
+
+bool
+bv_memory_may_receive(bv_node_t *node, size_t bytes, bool has_turn)
+{
+    if (bytes <= SMALL_BYTES || node->settings->memory_limit_mb == 0) {
+        return true;
+    }
+    /* Many responses may have grown since the last iteration. */
+    update_account(node);
+    if (has_turn) {
+        return bv_byte_account_level(node->account) < BV_BYTES_FULL ||
+               !do_readers_relieve(node);
+    }
+    return bv_byte_account_may_read(node->account, bytes);
+}
+
 static void
 close_connections(bv_node_t *node)
 {
--- a/node/node.c
+++ b/node/node.c
@@ -60,6 +60,12 @@
     bv_node_post_blocking(context, bv_serve_handle_result, result);
 }
 
+static bool
+may_read_answer(void *context, size_t bytes, bool has_turn)
+{
+    return bv_memory_may_receive(context, bytes, has_turn);
+}
+
 static void
 handle_era(bv_node_t *node, void *data)
 {
@@ -142,6 +148,7 @@
         .dialect = node->dialect->target.write_head != NULL
                        ? &node->dialect->target
                        : NULL,
+        .may_read = may_read_answer,
         .on_result = on_result,
         .context = node,
     };
--- a/targets/client.c
+++ b/targets/client.c
@@ -1,6 +1,7 @@
 #include "berylvane/targets/client.h"
 
 #include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
 #include "berylvane/common/headers.h"
 #include "berylvane/common/log.h"
 #include "berylvane/core/log_budget.h"
@@ -18,6 +19,14 @@
  */
 #define LATE_TURNS_LIMIT 32
 
+/* How soon input that may not be read is looked at again. */
+#define PAUSE_CHECK_US (5 * BV_US_PER_MS)
+
+/* The turn passes on if the target sends nothing more for this time. */
+#define TURN_IDLE_US BV_US_PER_S
+
+typedef struct request request_t;
+
 struct bv_target_client {
     bv_target_client_options_t options;
     bv_target_poll_t poll;
@@ -29,9 +38,13 @@
     GSequence *deadlines;
     /* Requests whose connection has input that no event announces. */
     GQueue unread;
+    /* The request that goes on while others may not be read; NULL for none. */
+    const request_t *turn;
+    /* When it was read last. */
+    int64_t turn_us;
 };
 
-typedef struct {
+struct request {
     uint64_t id;
     bv_target_connection_t *connection;
     bv_target_head_t head;
@@ -42,9 +55,12 @@
     GSequenceIter *timer;
     GList unread_link;
     bool is_unread;
+    /* No other request has waited longer for its input to be read. */
+    bool is_first;
+    bool was_paused;
     /* Turns that the connection had after the deadline. */
     uint32_t late_turns;
-} request_t;
+};
 
 static gint
 compare_deadlines(gconstpointer a, gconstpointer b, gpointer data)
@@ -55,6 +71,59 @@
     return (deadline_a > deadline_b) - (deadline_a < deadline_b);
 }
 
+/*
+ * Whether a request may go on while others wait: the one that has the turn, or
+ * the next one if that has ended or its target sends nothing.
+ */
+static bool
+has_turn(const bv_target_client_t *client, const request_t *request,
+         bool is_first)
+{
+    bool is_free = client->turn == NULL ||
+                   bv_clock_now_us() - client->turn_us >= TURN_IDLE_US;
+    return client->turn == request || (is_first && is_free);
+}
+
+/* Sets `takes_turn` if the request may be read only since it has the turn. */
+static bool
+may_read_request(const bv_target_client_t *client, const request_t *request,
+                 bool is_first, bool *takes_turn)
+{
+    const bv_target_client_options_t *options = &client->options;
+    size_t bytes = request->connection->response.body->len;
+    *takes_turn = false;
+    if (options->may_read == NULL ||
+        options->may_read(options->context, bytes, false)) {
+        return true;
+    }
+    *takes_turn = has_turn(client, request, is_first) &&
+                  options->may_read(options->context, bytes, true);
+    return *takes_turn;
+}
+
+/* An answer that has arrived is read at its deadline, see expire_requests().
+ */
+static bool
+may_read(void *context, const bv_target_connection_t *connection)
+{
+    bv_target_client_t *client = context;
+    request_t *request = connection->owner;
+    bool takes_turn;
+    if (request->late_turns > 0) {
+        return true;
+    }
+    if (!may_read_request(client, request, request->is_first, &takes_turn)) {
+        bv_counter_add(BV_COUNT_ANSWERS_PAUSED, !request->was_paused);
+        request->was_paused = true;
+        return false;
+    }
+    if (takes_turn) {
+        client->turn = request;
+        client->turn_us = bv_clock_now_us();
+    }
+    return true;
+}
+
 bv_target_client_t *
 bv_target_client_start(apr_pool_t *pool,
                        const bv_target_client_options_t *options)
@@ -65,6 +134,8 @@
         client->options.dialect = &bv_target_own_dialect;
     }
     bv_target_poll_init(&client->poll);
+    client->poll.may_read = may_read;
+    client->poll.context = client;
     bv_target_pool_init(&client->pool, options->kept_connections);
     client->share.limit_bytes = options->answers_limit_bytes;
     client->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -92,14 +163,31 @@
     return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
 
+/* Whether any of the requests with unread input may be read. */
+static bool
+can_read_on(const bv_target_client_t *client)
+{
+    const GList *head = client->unread.head;
+    for (const GList *link = head; link != NULL; link = link->next) {
+        bool takes_turn;
+        if (may_read_request(client, link->data, link == head, &takes_turn)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int64_t
 bv_target_client_next_timer_us(const bv_target_client_t *client)
 {
     const request_t *first = first_due(client);
-    if (client->unread.length > 0) {
-        return 0;
+    int64_t due_us = first != NULL ? first->deadline_us : INT64_MAX;
+    if (client->unread.length == 0) {
+        return due_us;
     }
-    return first != NULL ? first->deadline_us : INT64_MAX;
+    return can_read_on(client)
+               ? 0
+               : MIN(due_us, bv_clock_now_us() + PAUSE_CHECK_US);
 }
 
 static void
@@ -177,6 +265,9 @@
     if (request->is_unread) {
         g_queue_unlink(&client->unread, &request->unread_link);
     }
+    if (client->turn == request) {
+        client->turn = NULL;
+    }
     g_free(request->head.echo_value);
     g_free(request);
 }
@@ -257,8 +348,12 @@
         return;
     }
     if (connection->owner != NULL) {
+        request_t *request = connection->owner;
+        const GList *longest = client->unread.head;
+        request->is_first =
+            longest == NULL || longest == &request->unread_link;
         handle_progress(
-            client, connection->owner,
+            client, request,
             bv_target_connection_handle_events(connection, event->events));
         return;
     }
@@ -276,16 +371,22 @@
                     bv_target_connection_read_on(request->connection));
 }
 
-/* Gives each connection with unread input one turn. */
+/*
+ * Gives each connection with unread input one turn. Those with input left are
+ * added anew in their order, so that the first one stays the first.
+ */
 static void
 read_on(bv_target_client_t *client)
 {
-    for (guint left = client->unread.length; left > 0; left--) {
+    guint count = client->unread.length;
+    for (guint i = 0; i < count; i++) {
         GList *link = g_queue_pop_head_link(&client->unread);
         if (link == NULL) {
             return;
         }
-        read_request(client, link->data);
+        request_t *request = link->data;
+        request->is_first = i == 0;
+        read_request(client, request);
     }
 }
 
--- a/targets/connection.c
+++ b/targets/connection.c
@@ -19,6 +19,7 @@
 bv_target_poll_init(bv_target_poll_t *poll)
 {
     poll->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    poll->may_read = NULL;
     poll->buffer = g_malloc(READ_BYTES);
     g_queue_init(&poll->closed);
 }
@@ -269,12 +270,20 @@
     }
 }
 
+static bool
+may_read(const bv_target_connection_t *connection)
+{
+    const bv_target_poll_t *poll = connection->poll;
+    return poll->may_read == NULL || poll->may_read(poll->context, connection);
+}
+
 /* A short read shows that the socket is empty, unless its end is to be read.
  */
 static bv_target_progress_t
 read_response(bv_target_connection_t *connection)
 {
-    for (int reads = 0; reads < READS_AT_ONCE; reads++) {
+    for (int reads = 0; reads < READS_AT_ONCE && may_read(connection);
+         reads++) {
         ssize_t size;
         do {
             size =
--- a/targets/connection.h
+++ b/targets/connection.h
@@ -14,9 +14,14 @@
  * The socket is added to the epoll set once and is edge-triggered; its entry
  * is changed only when a request did not fit into the socket at once.
  */
+typedef struct bv_target_connection bv_target_connection_t;
+
 /* What the connections of one client share. */
 typedef struct {
     int epoll_fd;
+    /* Whether more of a response may be read now; NULL for always. */
+    bool (*may_read)(void *context, const bv_target_connection_t *connection);
+    void *context;
     /*
      * Closed connections. Events that were received before may still refer to
      * them, so that they are freed only by bv_target_poll_reap().
@@ -40,7 +45,7 @@
     bv_response_parser_options_t response;
 } bv_target_exchange_t;
 
-typedef struct {
+struct bv_target_connection {
     bv_target_poll_t *poll;
     bv_target_endpoint_t endpoint;
     /* -1 after the connection was closed. */
@@ -60,14 +65,14 @@
     /* Entry in the list of idle connections; its data is the connection. */
     GList link;
     int64_t idle_since_us;
-} bv_target_connection_t;
+};
 
 /* State of a request. After the last five the request has ended. */
 typedef enum {
     BV_TARGET_BUSY,
     /*
-     * Input was left unread so that other connections get their turn; no event
-     * announces it again.
+     * Input was left unread so that other connections get their turn, or since
+     * it may not be read now; no event announces it again.
      */
     BV_TARGET_UNREAD,
     BV_TARGET_ANSWERED,
--- a/tests/scripted_target.c
+++ b/tests/scripted_target.c
@@ -70,6 +70,12 @@
     close_connection(connection);
 }
 
+void
+scripted_target_close_connection(scripted_target_t *target, uint32_t index)
+{
+    close_connection(&target->connections[index]);
+}
+
 void
 scripted_target_close_connections(scripted_target_t *target)
 {
--- a/tests/scripted_target.h
+++ b/tests/scripted_target.h
@@ -42,6 +42,10 @@
 /* Closes all connections. */
 void scripted_target_close_connections(scripted_target_t *target);
 
+/* Closes one connection, by the order of acceptance. */
+void scripted_target_close_connection(scripted_target_t *target,
+                                      uint32_t index);
+
 /* Sends bytes on all open connections. */
 void scripted_target_send(scripted_target_t *target, const char *bytes);
 
--- a/tests/test_byte_account.c
+++ b/tests/test_byte_account.c
@@ -71,12 +71,20 @@
 }
 END_TEST
 
+typedef enum {
+    /* The process waits for the peer. */
+    WAITING,
+    /* The peer waits for the process. */
+    SERVED,
+    /* The process does not read what the peer has sent. */
+    PAUSED,
+} holder_state_t;
+
 /* What a holder holds, and what its peer moves in each second. */
 typedef struct {
     uint64_t bytes;
     uint64_t rate;
-    /* The process does not wait for the peer. */
-    bool is_served;
+    holder_state_t state;
 } behaviour_t;
 
 typedef struct {
@@ -91,37 +99,45 @@
 
 static const victim_case_t victim_cases[] = {
     /* Enough memory: the slowest is left alone. */
-    {{{40 * MB, 0, false}}, 100, -1, 0},
+    {{{40 * MB, 0, WAITING}}, 100, -1, 0},
     /* Pausing: who makes no progress for 5 s is closed. */
-    {{{60 * MB, 0, false}}, 4, -1, 0},
-    {{{60 * MB, 0, false}}, 6, 0, 0},
+    {{{60 * MB, 0, WAITING}}, 4, -1, 0},
+    {{{60 * MB, 0, WAITING}}, 6, 0, 0},
     /* Rejecting: for 2 s. */
-    {{{80 * MB, 0, false}}, 1, -1, 0},
-    {{{80 * MB, 0, false}}, 3, 0, 0},
+    {{{80 * MB, 0, WAITING}}, 1, -1, 0},
+    {{{80 * MB, 0, WAITING}}, 3, 0, 0},
     /* An honest slow reader is served, also if it takes long. */
-    {{{80 * MB, 640 * 1024, false}}, 100, -1, 0},
-    {{{73 * MB, 640 * 1024, false}, {7 * MB, 0, false}}, 3, 1, 0},
+    {{{80 * MB, 640 * 1024, WAITING}}, 100, -1, 0},
+    {{{73 * MB, 640 * 1024, WAITING}, {7 * MB, 0, WAITING}}, 3, 1, 0},
     /* A trickle is no progress. */
-    {{{80 * MB, 100, false}}, 10, 0, 0},
+    {{{80 * MB, 100, WAITING}}, 10, 0, 0},
     /* Who waits for the process is not closed. */
-    {{{80 * MB, 0, true}}, 100, -1, 0},
-    {{{120 * MB, 0, true}, {MB, 0, false}}, 1, 1, 0},
+    {{{80 * MB, 0, SERVED}}, 100, -1, 0},
+    {{{120 * MB, 0, SERVED}, {MB, 0, WAITING}}, 1, 1, 0},
     /* Above the bound: who holds most for its rate. */
-    {{{60 * MB, 1 * MB, false}, {60 * MB, 9 * MB, false}}, 3, 0, 0},
-    {{{90 * MB, 9 * MB, false}, {20 * MB, 64 * 1024, false}}, 3, 1, 0},
+    {{{60 * MB, 1 * MB, WAITING}, {60 * MB, 9 * MB, WAITING}}, 3, 0, 0},
+    {{{90 * MB, 9 * MB, WAITING}, {20 * MB, 64 * 1024, WAITING}}, 3, 1, 0},
+    /* Who is not read makes no progress, and is the last to be closed. */
+    {{{60 * MB, 0, PAUSED}, {50 * MB, 9 * MB, WAITING}}, 3, 1, 0},
+    {{{50 * MB, 9 * MB, WAITING}, {60 * MB, 0, PAUSED}}, 3, 0, 0},
+    {{{90 * MB, 0, PAUSED}, {MB, 0, WAITING}}, 3, 1, 9 * MB},
+    {{{60 * MB, 0, PAUSED}, {50 * MB, 0, PAUSED}}, 3, 0, 0},
     /* Small holders without progress are not worth closing. */
-    {{{80 * MB, MB, false}, {SMALL_BYTES, 0, false}}, 100, -1, 0},
+    {{{80 * MB, MB, WAITING}, {SMALL_BYTES, 0, WAITING}}, 100, -1, 0},
     /* Closing idle connections does not empty caches and queues. */
-    {{{2048, 0, false}, {2048, 0, false}, {2048, 0, false}}, 3, -1, 101 * MB},
-    {{{2048, 0, false}, {2048, 0, false}, {2048, 0, false}},
+    {{{2048, 0, WAITING}, {2048, 0, WAITING}, {2048, 0, WAITING}},
+     3,
+     -1,
+     101 * MB},
+    {{{2048, 0, WAITING}, {2048, 0, WAITING}, {2048, 0, WAITING}},
      3,
      -1,
      100 * MB - 4096},
-    {{{30000, 0, false}, {2048, 0, false}}, 3, -1, 101 * MB},
+    {{{30000, 0, WAITING}, {2048, 0, WAITING}}, 3, -1, 101 * MB},
     /* It does bring the use below the bound. */
-    {{{2 * MB, 0, false}, {2048, 0, false}}, 0, 0, 99 * MB},
+    {{{2 * MB, 0, WAITING}, {2048, 0, WAITING}}, 0, 0, 99 * MB},
     /* Stalled holders of much are closed also if that is not enough. */
-    {{{2 * MB, 0, false}, {2048, 0, false}}, 3, 0, 101 * MB},
+    {{{2 * MB, 0, WAITING}, {2048, 0, WAITING}}, 3, 0, 101 * MB},
 };
 
 START_TEST(test_victims)
@@ -134,7 +150,10 @@
     for (int i = 0; i < HOLDERS_MAX; i++) {
         bv_byte_account_join(account, &holders[i], &holders[i], now_us);
         bv_byte_account_set(account, &holders[i], now_us,
-                            row->holders[i].bytes, !row->holders[i].is_served);
+                            row->holders[i].bytes,
+                            row->holders[i].state != SERVED);
+        bv_byte_account_set_paused(&holders[i], now_us,
+                                   row->holders[i].state == PAUSED);
     }
     for (int second = 0; second < row->seconds; second++) {
         for (int i = 0; i < HOLDERS_MAX; i++) {
@@ -157,6 +176,46 @@
 }
 END_TEST
 
+typedef struct {
+    uint64_t holder_bytes;
+    uint64_t charged_bytes;
+    /* Of the charged bytes, those that are about to be released. */
+    uint64_t released_bytes;
+    bool is_relieved;
+} relief_case_t;
+
+static const relief_case_t relief_cases[] = {
+    {0, 99 * MB, 0, true},
+    {0, 100 * MB, 0, false},
+    {0, 120 * MB, 20 * MB, false},
+    {0, 120 * MB, 21 * MB, true},
+    {MB, 99 * MB, 0, true},
+    {10 * MB, 110 * MB, 10 * MB, false},
+    {11 * MB, 110 * MB, 10 * MB, false},
+    {11 * MB, 109 * MB, 10 * MB, true},
+    {10 * MB, MB, 200 * MB, true},
+};
+
+/*
+ * Guards against a process that waits at its bound for others, though what
+ * they hold up is not what fills its memory.
+ */
+START_TEST(test_relief)
+{
+    const relief_case_t *row = &relief_cases[_i];
+    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_byte_holder_t holder;
+    bv_byte_account_join(account, &holder, &holder, BV_US_PER_S);
+    bv_byte_account_set(account, &holder, BV_US_PER_S, row->holder_bytes,
+                        true);
+    bv_byte_account_charge(account, row->charged_bytes);
+    ck_assert_int_eq(bv_byte_account_can_relieve(account, row->released_bytes),
+                     row->is_relieved);
+    bv_byte_account_leave(account, &holder);
+    bv_byte_account_destroy(account);
+}
+END_TEST
+
 /* A burst at the start does not excuse a holder for long. */
 START_TEST(test_stalled_after_burst)
 {
@@ -292,6 +351,7 @@
     const support_test_t tests[] = {
         {"levels", test_levels, G_N_ELEMENTS(level_cases)},
         {"victims", test_victims, G_N_ELEMENTS(victim_cases)},
+        {"relief", test_relief, G_N_ELEMENTS(relief_cases)},
         {"stalled_after_burst", test_stalled_after_burst, 1},
         {"paused", test_paused, 1},
         {"progress", test_progress, G_N_ELEMENTS(progress_cases)},
--- a/tests/test_target_client.c
+++ b/tests/test_target_client.c
@@ -1,5 +1,6 @@
 #include "../targets/pool.h"
 #include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
 #include "berylvane/common/program.h"
 #include "berylvane/targets/client.h"
 #include "scripted_target.h"
@@ -64,8 +65,22 @@
     bv_target_result_t *result;
     uint32_t results;
     uint64_t next_id;
+    /* See may_read(). */
+    bool is_memory_short;
+    bool is_memory_full;
 } fixture_t;
 
+/* Responses of up to this size are read while memory is short. */
+#define SMALL_BYTES ((size_t)(64 * 1024))
+
+static bool
+may_read(void *context, size_t bytes, bool has_turn)
+{
+    const fixture_t *fixture = context;
+    return !fixture->is_memory_short || bytes <= SMALL_BYTES ||
+           (has_turn && !fixture->is_memory_full);
+}
+
 static void
 on_result(void *context, bv_target_result_t *result)
 {
@@ -86,6 +101,7 @@
         .kept_connections = 4,
         .answer_limit_bytes = ANSWER_LIMIT_BYTES,
         .dialect = &dialect,
+        .may_read = may_read,
         .on_result = on_result,
         .context = fixture,
     };
@@ -1132,6 +1148,125 @@
 }
 END_TEST
 
+/* Responses of which a part arrives before memory is short. */
+#define PAUSED_RESPONSES 3
+#define PART_BYTES ((size_t)(100 * 1024))
+#define PARTS 3
+
+typedef struct {
+    const char *name;
+    bool is_memory_short;
+    bool is_memory_full;
+    /* Parts of all responses that are received while it lasts. */
+    uint32_t parts;
+    uint32_t paused;
+} pause_case_t;
+
+static const pause_case_t pause_cases[] = {
+    {"enough memory", false, false, PAUSED_RESPONSES * 2, 0},
+    /* One goes on, the others wait. */
+    {"short of memory", true, false, PAUSED_RESPONSES + 1,
+     PAUSED_RESPONSES - 1},
+    {"no memory", true, true, PAUSED_RESPONSES, PAUSED_RESPONSES},
+};
+
+static void
+send_part(fixture_t *fixture)
+{
+    char *part = g_strnfill(PART_BYTES, 'a');
+    scripted_target_send(fixture->target, part);
+    g_free(part);
+}
+
+/* Starts requests that are answered with a head and one part of the body. */
+static void
+start_responses(fixture_t *fixture)
+{
+    for (uint32_t i = 0; i < PAUSED_RESPONSES; i++) {
+        bv_target_work_t work = work_of(fixture, "POST", "/large");
+        send_work(fixture, &work);
+    }
+    while (scripted_target_arrivals(fixture->target) < PAUSED_RESPONSES) {
+        run_round(fixture);
+    }
+    send_part(fixture);
+    while (bv_target_client_received_bytes(fixture->client) <
+           PAUSED_RESPONSES * PART_BYTES) {
+        run_round(fixture);
+    }
+}
+
+/*
+ * Guards against responses that are read at the rate of the target while
+ * memory is short; against a client that then wakes without end or reads
+ * nothing at all; and against small responses that wait behind large ones.
+ */
+START_TEST(test_pause)
+{
+    const pause_case_t *row = &pause_cases[_i];
+    fixture_t fixture;
+    char *head =
+        g_strdup_printf(OK "Content-Length: %zu\r\n\r\n", PARTS * PART_BYTES);
+    const scripted_reply_t replies[] = {
+        {.bytes = head}, {.bytes = head}, {.bytes = head}, {.bytes = OK_BODY}};
+    fixture_start(&fixture, replies, G_N_ELEMENTS(replies));
+    uint64_t paused = bv_counter_get(BV_COUNT_ANSWERS_PAUSED);
+    start_responses(&fixture);
+    fixture.is_memory_short = row->is_memory_short;
+    fixture.is_memory_full = row->is_memory_full;
+    send_part(&fixture);
+    settle(&fixture);
+    ck_assert_msg(bv_target_client_received_bytes(fixture.client) ==
+                      row->parts * PART_BYTES,
+                  "%s: %zu bytes", row->name,
+                  bv_target_client_received_bytes(fixture.client));
+    ck_assert_int_gt(bv_target_client_next_timer_us(fixture.client), 0);
+    ck_assert_uint_eq(bv_counter_get(BV_COUNT_ANSWERS_PAUSED) - paused,
+                      row->paused);
+    bv_target_work_t small = work_of(&fixture, "POST", "/small");
+    check_result(row->name, run_work(&fixture, &small), RAN, BV_REASON_NONE);
+    fixture.is_memory_short = false;
+    scripted_target_close_connection(fixture.target, PAUSED_RESPONSES);
+    send_part(&fixture);
+    while (fixture.results < PAUSED_RESPONSES + 1) {
+        run_round(&fixture);
+        check_result(row->name, fixture.result, RAN, BV_REASON_NONE);
+    }
+    ck_assert_uint_eq(g_bytes_get_size(fixture.result->body),
+                      PARTS * PART_BYTES);
+    fixture_stop(&fixture);
+    g_free(head);
+}
+END_TEST
+
+/*
+ * Guards against a response that has arrived and is lost at its deadline
+ * because memory is short.
+ */
+START_TEST(test_paused_response_is_delivered_late)
+{
+    fixture_t fixture;
+    char *head =
+        g_strdup_printf(OK "Content-Length: %zu\r\n\r\n", 2 * PART_BYTES);
+    const scripted_reply_t reply = {.bytes = head};
+    fixture_start(&fixture, &reply, 1);
+    bv_target_work_t work = work_of(&fixture, "GET", "/large");
+    work.timeout_us = SHORT_TIMEOUT_US;
+    send_work(&fixture, &work);
+    while (scripted_target_arrivals(fixture.target) == 0) {
+        scripted_target_run(fixture.target);
+    }
+    fixture.is_memory_short = true;
+    fixture.is_memory_full = true;
+    send_part(&fixture);
+    send_part(&fixture);
+    check_result("late", wait_for_result(&fixture), RAN, BV_REASON_NONE);
+    ck_assert_uint_eq(g_bytes_get_size(fixture.result->body), 2 * PART_BYTES);
+    fixture_stop(&fixture);
+    g_free(head);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -1145,6 +1280,9 @@
         {"split_answers", test_split_answers, G_N_ELEMENTS(whole_answers)},
         {"folded_value", test_folded_value, 1},
         {"no_descriptors", test_no_descriptors, G_N_ELEMENTS(refusal_cases)},
+        {"pause", test_pause, G_N_ELEMENTS(pause_cases)},
+        {"paused_response_is_delivered_late",
+         test_paused_response_is_delivered_late, 1},
         {"head_limit", test_head_limit, G_N_ELEMENTS(head_cases)},
         {"reuse", test_reuse, G_N_ELEMENTS(reuse_cases)},
         {"idle_connection_is_closed_at_once",
