Reading from peers pauses while memory is short

A node took from its peers what they sent, however little memory was left. ZeroMQ bounds received messages by count (10,000 of each peer, of up to 8 MiB), so that large requests and responses piled up outside the memory account while the node was busy, and up to 4 MiB of them were decoded in each turn.

Change: core/peer_intake decides how much a socket may receive in its turn. With a memory limit ZeroMQ's high-water mark for received messages is 2. While reading pauses, the event of the socket is consumed, so that its descriptor rests. Counter peer_pauses. Below the bound nothing pauses: small requests have their reserve, and a large message cannot be told from a small one before it is received.

--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -61,6 +61,8 @@
     X(PEER_BAD, "peer_bad", "peer messages that were not understood")         \
     X(PEER_SENT, "peer_sent", "messages sent to peers")                       \
     X(PEER_RECEIVED, "peer_received", "messages received from peers")         \
+    X(PEER_PAUSES, "peer_pauses",                                             \
+      "times that peers were not read, since memory was full")                \
     X(PEER_REPLACED, "peer_replaced", "peer connections replaced")            \
     X(GOSSIP_BAD, "gossip_bad", "gossip packets dropped as invalid")          \
     X(GOSSIP_REPLAYED, "gossip_replayed", "gossip packets dropped as old")    \
--- a/include/berylvane/node/memory.h
+++ b/include/berylvane/node/memory.h
@@ -53,6 +53,9 @@
  */
 bool bv_memory_may_receive(bv_node_t *node, size_t bytes, bool has_turn);
 
+/* Returns how much may be received from a peer's socket in its turn. */
+size_t bv_memory_peer_intake_bytes(const bv_node_t *node);
+
 /* Work for the local target was accepted, or has ended. */
 void bv_memory_work_added(bv_node_t *node, const bv_peer_message_t *dispatch);
 void bv_memory_work_removed(bv_node_t *node,
--- a/include/berylvane/peer/link.h
+++ b/include/berylvane/peer/link.h
@@ -26,6 +26,14 @@
     /* CURVE key pair that all nodes share, in Z85; NULL for no encryption. */
     const char *public_key;
     const char *secret_key;
+    /*
+     * Bytes that may be received from a socket in its turn before its last
+     * message; 0 if none may be received now. What is not received stays with
+     * the peer, but for a few messages that ZeroMQ holds. NULL for no limit.
+     */
+    size_t (*intake_bytes)(void *context);
+    /* ZeroMQ holds no more than a few messages that were not received. */
+    bool bounds_received;
     /* Called while the link receives; owns the message. */
     void (*on_message)(void *context, bv_peer_message_t *message);
     void *context;
@@ -66,8 +74,8 @@
 void bv_link_receive_pending(bv_link_t *link);
 
 /*
- * Whether messages may be left to be received, for which no descriptor becomes
- * readable.
+ * Whether messages may be left to be received now, for which no descriptor
+ * becomes readable.
  */
 bool bv_link_has_pending(const bv_link_t *link);
 
--- a/node/memory.c
+++ b/node/memory.c
@@ -5,6 +5,7 @@
 #include "berylvane/common/gauges.h"
 #include "berylvane/common/log.h"
 #include "berylvane/core/descriptor_shares.h"
+#include "berylvane/core/peer_intake.h"
 #include "berylvane/node/quotas.h"
 
 #include <malloc.h>
@@ -45,6 +46,7 @@
     GHashTable *unknown_calls;
     /* Tags of the calls that wait for memory, in the order of arrival. */
     GQueue waiting;
+    bv_peer_intake_t peer_intake;
     /* Connections closed and not logged yet. */
     uint32_t closed_count;
     int64_t log_due_us;
@@ -300,6 +302,22 @@
     return bv_byte_account_may_read(node->account, bytes);
 }
 
+static void
+update_peer_intake(bv_node_t *node)
+{
+    bv_peer_intake_t *intake = &node->memory->peer_intake;
+    uint64_t pauses = intake->pauses;
+    bv_peer_intake_update(intake, node->now_us, node->account,
+                          bv_link_queued_bytes(node->link));
+    bv_counter_add(BV_COUNT_PEER_PAUSES, intake->pauses - pauses);
+}
+
+size_t
+bv_memory_peer_intake_bytes(const bv_node_t *node)
+{
+    return bv_peer_intake_bytes(&node->memory->peer_intake, SMALL_BYTES);
+}
+
 static void
 close_connections(bv_node_t *node)
 {
@@ -372,6 +390,7 @@
 bv_memory_tick(bv_node_t *node)
 {
     update_account(node);
+    update_peer_intake(node);
     if (node->settings->memory_limit_mb == 0 &&
         node->memory->waiting.length == 0) {
         return;
--- a/node/node.c
+++ b/node/node.c
@@ -164,6 +164,12 @@
     }
 }
 
+static size_t
+peer_intake_bytes(void *context)
+{
+    return bv_memory_peer_intake_bytes(context);
+}
+
 static bool
 start_link(bv_node_t *node, GError **error)
 {
@@ -174,6 +180,8 @@
         .port = (uint16_t)settings->peer_port,
         .public_key = settings->curve_public_key,
         .secret_key = settings->curve_secret_key,
+        .intake_bytes = peer_intake_bytes,
+        .bounds_received = settings->memory_limit_mb > 0,
         .on_message = on_message,
         .context = node,
     };
--- a/peer/link.c
+++ b/peer/link.c
@@ -11,6 +11,11 @@
 #include <zmq.h>
 
 #define QUEUE_LIMIT_MESSAGES 10000
+/*
+ * Messages of a peer that ZeroMQ holds until they are received, if memory is
+ * bounded; it reads one more. Each may have 8 MiB.
+ */
+#define RECEIVED_LIMIT_MESSAGES 2
 #define MESSAGE_LIMIT_BYTES                                                   \
     (BV_PEER_BODY_LIMIT_BYTES + BV_PEER_PATH_LIMIT_BYTES +                    \
      BV_PEER_HEADERS_LIMIT_BYTES + 65536)
@@ -110,12 +115,15 @@
 }
 
 static void
-set_common_options(void *socket)
+set_common_options(const bv_link_t *link, void *socket)
 {
     int64_t limit = MESSAGE_LIMIT_BYTES;
+    int received_limit = link->options.bounds_received
+                             ? RECEIVED_LIMIT_MESSAGES
+                             : QUEUE_LIMIT_MESSAGES;
     set_integer_option(socket, ZMQ_LINGER, 0);
     set_integer_option(socket, ZMQ_SNDHWM, QUEUE_LIMIT_MESSAGES);
-    set_integer_option(socket, ZMQ_RCVHWM, QUEUE_LIMIT_MESSAGES);
+    set_integer_option(socket, ZMQ_RCVHWM, received_limit);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit, sizeof(limit));
 }
 
@@ -135,7 +143,7 @@
     connection->incarnation = destination->message->to_incarnation;
     connection->session = destination->message->session;
     connection->socket = zmq_socket(link->zmq_context, ZMQ_DEALER);
-    set_common_options(connection->socket);
+    set_common_options(link, connection->socket);
     set_curve_options(link, connection->socket, false);
     char endpoint[96];
     g_snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s:%u",
@@ -318,16 +326,40 @@
     }
 }
 
+/* Returns the bytes after which the turn of a socket ends. */
+static size_t
+turn_bytes(const bv_link_t *link)
+{
+    const bv_link_options_t *options = &link->options;
+    return options->intake_bytes != NULL
+               ? MIN(options->intake_bytes(options->context),
+                     RECEIVED_AT_ONCE_BYTES)
+               : RECEIVED_AT_ONCE_BYTES;
+}
+
+/* The descriptor would otherwise stay readable while nothing is received. */
+static void
+consume_event(void *socket)
+{
+    int events;
+    size_t size = sizeof(events);
+    zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size);
+}
+
 /*
- * Receives from `connection`, or from the router if that is NULL, up to
- * RECEIVED_AT_ONCE_BYTES: large messages are handled before more are decoded.
+ * Receives from `connection`, or from the router if that is NULL, up to the
+ * end of its turn: large messages are handled before more are decoded.
  */
 static void
 receive_all(bv_link_t *link, connection_t *connection)
 {
     size_t bytes = 0;
+    size_t limit = turn_bytes(link);
     bool has_more = true;
-    while (has_more && bytes < RECEIVED_AT_ONCE_BYTES) {
+    if (limit == 0) {
+        consume_event(connection == NULL ? link->router : connection->socket);
+    }
+    while (has_more && bytes < limit) {
         has_more = connection == NULL
                        ? receive_from_router(link, &bytes)
                        : receive_from_connection(link, connection, &bytes);
@@ -407,7 +439,9 @@
 bool
 bv_link_has_pending(const bv_link_t *link)
 {
-    return link->router_is_pending || link->pending_connections->len > 0;
+    bool has_any =
+        link->router_is_pending || link->pending_connections->len > 0;
+    return has_any && turn_bytes(link) > 0;
 }
 
 size_t
@@ -454,7 +488,7 @@
     link->options = *options;
     link->zmq_context = zmq_ctx_new();
     link->router = zmq_socket(link->zmq_context, ZMQ_ROUTER);
-    set_common_options(link->router);
+    set_common_options(link, link->router);
     set_curve_options(link, link->router, true);
     char endpoint[96];
     g_snprintf(endpoint, sizeof(endpoint), "tcp://%s:%u", options->address,
