--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -61,6 +61,8 @@
     X(PEER_BAD, "peer_bad", "peer messages that were not understood")         \
     X(PEER_SENT, "peer_sent", "messages sent to peers")                       \
     X(PEER_RECEIVED, "peer_received", "messages received from peers")         \
+    X(PEER_PAUSES, "peer_pauses",                                             \
+      "times that peers were not read, since memory was full")                \
     X(PEER_REPLACED, "peer_replaced", "peer connections replaced")            \
     X(GOSSIP_BAD, "gossip_bad", "gossip packets dropped as invalid")          \
     X(GOSSIP_REPLAYED, "gossip_replayed", "gossip packets dropped as old")    \
@@ -94,6 +96,8 @@
       "request bodies not read, larger than a node passes on")                \
     X(CALLS_DELAYED_MEMORY, "calls_delayed_memory",                           \
       "calls whose responses waited for memory")                              \
+    X(ANSWERS_PAUSED, "answers_paused",                                       \
+      "target's responses not read on for a time, for lack of memory")        \
     X(CONNECTIONS_CLOSED_MEMORY, "connections_closed_memory",                 \
       "callers' connections closed for lack of memory")                       \
     X(CONNECTIONS_CLOSED_DESCRIPTORS, "connections_closed_descriptors",       \
--- a/include/berylvane/common/headers.h
+++ b/include/berylvane/common/headers.h
@@ -20,9 +20,6 @@
 #define BV_HEADER_RAN_DIGEST "Berylvane-Ran-Digest"
 #define BV_HEADER_TRACEPARENT "traceparent"
 
-/* Longest block that bv_headers_append() makes. */
-#define BV_HEADER_BLOCK_LIMIT_BYTES 16384
-
 /*
  * Whether a header is forwarded between caller and target. Hop-by-hop headers
  * and headers that a node sets itself are not forwarded.
@@ -34,14 +31,9 @@
                             const char *value);
 
 /*
- * Appends a header to `block` if the header is forwarded and the block stays
- * within BV_HEADER_BLOCK_LIMIT_BYTES; otherwise leaves the block as it is.
- */
-void bv_headers_append(GString *block, const char *name, const char *value);
-
-/*
- * Returns a new block with those headers of `block` that bv_headers_append()
- * accepts; the caller frees it with g_free().
+ * Returns a new block with those headers of `block` that are forwarded; the
+ * caller frees it with g_free(). Who reads the head bounds its size. Lines
+ * grow by up to a quarter, since a blank follows each colon.
  */
 char *bv_headers_filter(const char *block);
 
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -46,6 +46,7 @@
     X(CONNECTION_LOST, "connection_lost")                                     \
     X(NO_MEMORY, "no_memory")                                                 \
     X(BODY_TOO_LARGE, "body_too_large")                                       \
-    X(MODE, "mode")
+    X(MODE, "mode")                                                           \
+    X(DESCRIPTORS, "descriptors")
 
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -61,6 +61,12 @@
     bv_node_post_blocking(context, bv_serve_handle_result, result);
 }
 
+static bool
+may_read_answer(void *context, size_t bytes, bool has_turn)
+{
+    return bv_memory_may_receive(context, bytes, has_turn);
+}
+
 static void
 handle_era(bv_node_t *node, void *data)
 {
@@ -143,6 +149,7 @@
         .dialect = node->dialect->target.write_head != NULL
                        ? &node->dialect->target
                        : NULL,
+        .may_read = may_read_answer,
         .on_result = on_result,
         .context = node,
     };
@@ -158,6 +165,12 @@
     }
 }
 
+static size_t
+peer_intake_bytes(void *context)
+{
+    return bv_memory_peer_intake_bytes(context);
+}
+
 static bool
 start_link(bv_node_t *node, GError **error)
 {
@@ -168,6 +181,8 @@
         .port = (uint16_t)settings->peer_port,
         .public_key = settings->curve_public_key,
         .secret_key = settings->curve_secret_key,
+        .intake_bytes = peer_intake_bytes,
+        .bounds_received = settings->memory_limit_mb > 0,
         .on_message = on_message,
         .context = node,
     };
--- a/targets/connection.h
+++ b/targets/connection.h
@@ -14,9 +14,14 @@
  * The socket is added to the epoll set once and is edge-triggered; its entry
  * is changed only when a request did not fit into the socket at once.
  */
+typedef struct bv_target_connection bv_target_connection_t;
+
 /* What the connections of one client share. */
 typedef struct {
     int epoll_fd;
+    /* Whether more of a response may be read now; NULL for always. */
+    bool (*may_read)(void *context, const bv_target_connection_t *connection);
+    void *context;
     /*
      * Closed connections. Events that were received before may still refer to
      * them, so that they are freed only by bv_target_poll_reap().
@@ -40,7 +45,7 @@
     bv_response_parser_options_t response;
 } bv_target_exchange_t;
 
-typedef struct {
+struct bv_target_connection {
     bv_target_poll_t *poll;
     bv_target_endpoint_t endpoint;
     /* -1 after the connection was closed. */
@@ -60,14 +65,14 @@
     /* Entry in the list of idle connections; its data is the connection. */
     GList link;
     int64_t idle_since_us;
-} bv_target_connection_t;
+};
 
-/* State of a request. After the last four the request has ended. */
+/* State of a request. After the last five the request has ended. */
 typedef enum {
     BV_TARGET_BUSY,
     /*
-     * Input was left unread so that other connections get their turn; no event
-     * announces it again.
+     * Input was left unread so that other connections get their turn, or since
+     * it may not be read now; no event announces it again.
      */
     BV_TARGET_UNREAD,
     BV_TARGET_ANSWERED,
@@ -76,6 +81,8 @@
     /* A kept-alive connection closed before the first byte of the response. */
     BV_TARGET_LOST,
     BV_TARGET_BROKEN,
+    /* The process or the system has no descriptor for a new connection. */
+    BV_TARGET_NO_DESCRIPTORS,
 } bv_target_progress_t;
 
 void bv_target_poll_init(bv_target_poll_t *poll);
@@ -87,10 +94,14 @@
 bool bv_target_endpoint_equal(const bv_target_endpoint_t *a,
                               const bv_target_endpoint_t *b);
 
-/* Starts to connect. Returns NULL if the system refuses that at once. */
+/*
+ * Starts to connect. If the system refuses that at once, returns NULL and sets
+ * `refusal` to BV_TARGET_NOT_SENT or BV_TARGET_NO_DESCRIPTORS.
+ */
 bv_target_connection_t *
 bv_target_connection_open(bv_target_poll_t *poll,
-                          const bv_target_endpoint_t *endpoint);
+                          const bv_target_endpoint_t *endpoint,
+                          bv_target_progress_t *refusal);
 
 /* Closes the connection, which is freed by bv_target_poll_reap(). */
 void bv_target_connection_close(bv_target_connection_t *connection);
--- a/tests/target_fixture.c
+++ b/tests/target_fixture.c
@@ -9,6 +9,8 @@
 #define POLL_MS 1
 /* Rounds in which a second sending of a request would arrive. */
 #define SETTLE_ROUNDS 20
+/* Responses of up to this size are read while memory is short. */
+#define SMALL_BYTES ((size_t)(64 * 1024))
 
 const char *const target_methods[TARGET_METHODS] = {
     "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"};
@@ -38,6 +40,14 @@
     .classify_answer = classify_answer,
 };
 
+static bool
+may_read(void *context, size_t bytes, bool has_turn)
+{
+    const target_fixture_t *fixture = context;
+    return !fixture->is_memory_short || bytes <= SMALL_BYTES ||
+           (has_turn && !fixture->is_memory_full);
+}
+
 static void
 on_result(void *context, bv_target_result_t *result)
 {
@@ -58,6 +68,7 @@
         .kept_connections = 4,
         .answer_limit_bytes = TARGET_ANSWER_LIMIT_BYTES,
         .dialect = &dialect,
+        .may_read = may_read,
         .on_result = on_result,
         .context = fixture,
     };
--- a/tests/target_fixture.h
+++ b/tests/target_fixture.h
@@ -33,6 +33,12 @@
     bv_target_result_t *result;
     uint32_t results;
     uint64_t next_id;
+    /*
+     * While memory is short, small responses and one other are read; while it
+     * is full, only small ones.
+     */
+    bool is_memory_short;
+    bool is_memory_full;
 } target_fixture_t;
 
 /* Starts the client, and the stand-in with its replies in order. */
--- a/tests/test_headers.c
+++ b/tests/test_headers.c
@@ -1,6 +1,8 @@
 #include "berylvane/common/headers.h"
 #include "support.h"
 
+#include <string.h>
+
 /*
  * Guards against headers that are read from malformed lines or under another
  * name, and against hop-by-hop headers and headers of berylvane that are
@@ -59,12 +61,30 @@
 }
 END_TEST
 
+static const size_t sizes[] = {16 * 1024, 16 * 1024 + 1, 64 * 1024, 80 * 1024};
+
+/* Guards against a block of which some lines are dropped without notice. */
+START_TEST(test_size)
+{
+    GString *block = g_string_new("A: 1\r\nB: ");
+    while (block->len + strlen("\r\n") < sizes[_i]) {
+        g_string_append_c(block, 'b');
+    }
+    g_string_append(block, "\r\n");
+    char *forwarded = bv_headers_filter(block->str);
+    ck_assert_msg(strcmp(forwarded, block->str) == 0, "%zu bytes", sizes[_i]);
+    g_free(forwarded);
+    g_string_free(block, TRUE);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"get", test_get, G_N_ELEMENTS(get_cases)},
         {"filter", test_filter, G_N_ELEMENTS(filter_cases)},
+        {"size", test_size, G_N_ELEMENTS(sizes)},
         {NULL}};
     return support_run("headers", tests);
 }
--- a/tests/test_target_connections.c
+++ b/tests/test_target_connections.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 /*
@@ -135,8 +136,10 @@
 put_connections(bv_target_pool_t *pool, bv_target_poll_t *poll,
                 const bv_target_endpoint_t *endpoint, uint32_t count)
 {
+    bv_target_progress_t refusal;
     for (uint32_t i = 0; i < count; i++) {
-        bv_target_pool_put(pool, bv_target_connection_open(poll, endpoint), 0);
+        bv_target_pool_put(
+            pool, bv_target_connection_open(poll, endpoint, &refusal), 0);
     }
 }
 
@@ -286,6 +289,56 @@
 }
 END_TEST
 
+/* What the system refuses a socket with, and the reason of the result. */
+typedef struct {
+    int error;
+    bv_reason_t reason;
+} refusal_case_t;
+
+static const refusal_case_t refusal_cases[] = {
+    {EMFILE, BV_REASON_DESCRIPTORS},
+    {ENFILE, BV_REASON_DESCRIPTORS},
+    {EACCES, BV_REASON_CONNECT},
+    {EAFNOSUPPORT, BV_REASON_CONNECT},
+};
+
+/* If not 0, socket() below fails with it. */
+static int socket_error;
+
+/* Replaces the function of the C library in this program. */
+int
+socket(int family, int type, int protocol)
+{
+    if (socket_error != 0) {
+        errno = socket_error;
+        return -1;
+    }
+    return (int)syscall(SYS_socket, family, type, protocol);
+}
+
+/*
+ * Guards against a target that counts as unreachable because the node itself
+ * has no descriptor left. The next request finds the client as before.
+ */
+START_TEST(test_no_descriptors)
+{
+    const refusal_case_t *row = &refusal_cases[_i];
+    target_fixture_t fixture;
+    const scripted_reply_t reply = {.bytes = OK_BODY};
+    target_fixture_start(&fixture, &reply, 1);
+    bv_target_work_t work = target_fixture_work(&fixture, "POST", "/a");
+    socket_error = row->error;
+    target_fixture_send(&fixture, &work);
+    socket_error = 0;
+    target_fixture_check(g_strerror(row->error), fixture.result,
+                         BV_OUTCOME_NOT_RUN, row->reason);
+    work = target_fixture_work(&fixture, "POST", "/b");
+    target_fixture_check("after it", target_fixture_run(&fixture, &work),
+                         BV_OUTCOME_RAN, BV_REASON_NONE);
+    ck_assert_uint_eq(scripted_target_arrivals(fixture.target), 1);
+    target_fixture_stop(&fixture);
+}
+END_TEST
 int
 main(void)
 {
@@ -297,6 +350,7 @@
         {"idle_limit", test_idle_limit, 1},
         {"deadline_before_sending", test_deadline_before_sending,
          TARGET_METHODS},
+        {"no_descriptors", test_no_descriptors, G_N_ELEMENTS(refusal_cases)},
         {"connect", test_connect, G_N_ELEMENTS(connect_cases)},
         {NULL}};
     return support_run("target_connections", tests);
