Results of keyed requests and operators' connections count as held

A node held up to 16 MB of results of keyed requests, and whatever operators' connections had sent, beside the bound of its memory account: the limits for all others were too high by as much.

Change: bv_claims_results_bytes() and bv_operator_listener_held_bytes() are charged in each iteration of the loop. The listener of operators has a thread, so it has an account of its own, without a bound, whose use the thread publishes atomically. Nothing is refused or closed at that listener for memory, and results are not given up before their limit.

That node/memory charges the results is not tested by itself.

--- a/caller/listener.c
+++ b/caller/listener.c
@@ -51,6 +51,8 @@
     GQueue replied;
     /* Used with a thread only. */
     apr_thread_t *thread;
+    /* Bytes in the account; changed atomically. */
+    gsize held_bytes;
     int wake_fd;
     gint is_stopping;
 };
@@ -414,6 +416,23 @@
     bv_listener_run_due(listener);
 }
 
+static void
+publish_held_bytes(bv_listener_t *listener)
+{
+    const bv_byte_account_t *account = listener->options.account;
+    if (account != NULL) {
+        g_atomic_pointer_set(&listener->held_bytes,
+                             (gsize)bv_byte_account_used(account));
+    }
+}
+
+size_t
+bv_listener_held_bytes(const bv_listener_t *listener)
+{
+    /* GLib's atomic access takes no constant pointer. */
+    return (size_t)g_atomic_pointer_get((gsize *)&listener->held_bytes);
+}
+
 static void *APR_THREAD_FUNC
 run_thread(apr_thread_t *thread, void *data)
 {
@@ -422,6 +441,7 @@
     while (!g_atomic_int_get(&listener->is_stopping)) {
         handle_events(listener, SWEEP_US / BV_US_PER_MS);
         bv_listener_run_due(listener);
+        publish_held_bytes(listener);
     }
     return NULL;
 }
--- a/core/claim.c
+++ b/core/claim.c
@@ -250,3 +250,9 @@
 {
     return g_hash_table_size(claims->claims);
 }
+
+size_t
+bv_claims_results_bytes(const bv_claims_t *claims)
+{
+    return claims->results_bytes;
+}
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -62,8 +62,9 @@
      */
     bool is_threadless;
     /*
-     * Account of the bytes that the connections hold; NULL for none. Only a
-     * threadless listener may have one.
+     * Account of the bytes that the connections hold; NULL for none. Used on
+     * the listener's thread only: a listener that is not threadless needs one
+     * of its own.
      */
     bv_byte_account_t *account;
     /*
@@ -131,6 +132,12 @@
  */
 uint32_t bv_listener_relieve(bv_byte_account_t *account);
 
+/*
+ * Returns what the account of a listener with a thread held after its latest
+ * events; 0 without an account. For any thread.
+ */
+size_t bv_listener_held_bytes(const bv_listener_t *listener);
+
 /* Accepts no new connections; open ones can still send calls. */
 void bv_listener_quiesce(bv_listener_t *listener);
 
--- a/include/berylvane/core/claim.h
+++ b/include/berylvane/core/claim.h
@@ -204,6 +204,9 @@
 /* Returns the number of keys in memory. */
 uint32_t bv_claims_count(const bv_claims_t *claims);
 
+/* Returns the size of the results that are kept for repeats. */
+size_t bv_claims_results_bytes(const bv_claims_t *claims);
+
 /*
  * Handles the return of the table service from an older copy of its data. Rows
  * of this node may be gone, and their revisions may have been given to other
--- a/include/berylvane/operator/listener.h
+++ b/include/berylvane/operator/listener.h
@@ -36,6 +36,9 @@
 bool bv_operator_listener_is_idle(const bv_operator_listener_t *listener);
 void bv_operator_listener_stop(bv_operator_listener_t *listener);
 
+/* Returns what the connections hold; 0 for NULL. For any thread. */
+size_t bv_operator_listener_held_bytes(const bv_operator_listener_t *listener);
+
 /* Replies to a query with JSON text; takes ownership of `text` (g_free). */
 void bv_operator_reply(bv_call_t *call, uint16_t status, char *text);
 
--- a/node/memory.c
+++ b/node/memory.c
@@ -260,6 +260,8 @@
     bv_memory_t *memory = node->memory;
     uint64_t bytes = memory->work_bytes + memory->expected_bytes +
                      bv_answer_cache_bytes(node->answer_cache) +
+                     bv_claims_results_bytes(node->claims) +
+                     bv_operator_listener_held_bytes(node->operator_listener) +
                      bv_target_client_received_bytes(node->target_client) +
                      bv_link_queued_bytes(node->link);
     if (bytes > memory->charged_bytes) {
--- a/operator/listener.c
+++ b/operator/listener.c
@@ -15,6 +15,8 @@
 struct bv_operator_listener {
     bv_operator_listener_options_t options;
     char *authorization;
+    /* Without a bound, and used on the listener's thread only. */
+    bv_byte_account_t *account;
     bv_listener_t *listener;
 };
 
@@ -86,15 +88,19 @@
     if (options->token != NULL) {
         listener->authorization = g_strconcat("Bearer ", options->token, NULL);
     }
+    bv_byte_account_options_t unbounded = {0};
+    listener->account = bv_byte_account_create(&unbounded);
     bv_listener_options_t http_options = {
         .address = options->address,
         .port = options->port,
         .limits = {.body_bytes = BODY_LIMIT_BYTES},
+        .account = listener->account,
         .on_call = handle_call,
         .context = listener,
     };
     listener->listener = bv_listener_start(&http_options, error);
     if (listener->listener == NULL) {
+        bv_byte_account_destroy(listener->account);
         g_free(listener->authorization);
         g_free(listener);
         return NULL;
@@ -114,6 +120,12 @@
     return bv_listener_is_idle(listener->listener);
 }
 
+size_t
+bv_operator_listener_held_bytes(const bv_operator_listener_t *listener)
+{
+    return listener != NULL ? bv_listener_held_bytes(listener->listener) : 0;
+}
+
 void
 bv_operator_listener_stop(bv_operator_listener_t *listener)
 {
@@ -121,6 +133,7 @@
         return;
     }
     bv_listener_stop(listener->listener);
+    bv_byte_account_destroy(listener->account);
     g_free(listener->authorization);
     g_free(listener);
 }
--- a/tests/test_claim_restored.c
+++ b/tests/test_claim_restored.c
@@ -204,6 +204,51 @@
 }
 END_TEST
 
+typedef struct {
+    uint32_t results;
+    size_t body_bytes;
+    const char *headers;
+    size_t kept_bytes;
+} kept_case_t;
+
+static const kept_case_t kept_cases[] = {
+    {0, 0, NULL, 0},
+    {1, 0, NULL, 0},
+    {1, 100, NULL, 100},
+    {1, 100, "A: 1\r\n", 106},
+    {3, 100, "A: 1\r\n", 318},
+    /* The oldest are evicted beyond the limit. */
+    {5, 500, NULL, 1000},
+};
+
+/* Guards against results that the process keeps and does not account for. */
+START_TEST(test_results_bytes)
+{
+    const kept_case_t *row = &kept_cases[_i];
+    fixture_t fixture = {0};
+    fixture_open(&fixture);
+    bv_claims_t *claims = fixture.nodes[0].claims;
+    for (uint32_t i = 0; i < row->results; i++) {
+        char *key = g_strdup_printf("key-%u", i);
+        const bv_claim_call_t call = {.key = key, .waiter = i + 1};
+        bv_key_result_t result = {
+            .outcome = BV_OUTCOME_RAN,
+            .status = 200,
+            .headers = (char *)row->headers,
+            .body =
+                g_bytes_new_take(g_malloc0(row->body_bytes), row->body_bytes),
+        };
+        restore_store(&fixture);
+        bv_claims_begin(claims, 0, &call);
+        bv_claims_settle(claims, 0, key, &result);
+        g_bytes_unref(result.body);
+        g_free(key);
+    }
+    ck_assert_uint_eq(bv_claims_results_bytes(claims), row->kept_bytes);
+    fixture_close(&fixture);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -212,6 +257,7 @@
          G_N_ELEMENTS(outcomes)},
         {"row_of_started_attempt_is_written_again",
          test_row_of_started_attempt_is_written_again, 2},
+        {"results_bytes", test_results_bytes, G_N_ELEMENTS(kept_cases)},
         {NULL}};
     support_parse_arguments(argc, argv);
     return support_run("claim_restored", tests);
