Fair share: levels of calls with an account, status and metrics

Change: the node where such a call enters takes the level from its demand (node/fair_shares). It learns the cost of a route from the latency of its answers, less the queueing delay that the answer reports. Calls without an account keep the hash of the customer or the label; the priority field and all messages are unchanged. Operators see for each account with a label the calls refused by priority and the recent and usual demand in slots, in /status, berylvanectl status and /metrics (berylvane_account_refused_priority_total, berylvane_account_recent_slots, berylvane_account_usual_slots). Tests: e2e_platform checks that the calls of an account appear in its demand; its reading of the status page became a function, no check is removed.

--- a/common/account_counters.c
+++ b/common/account_counters.c
@@ -1,10 +1,15 @@
 #include "berylvane/common/account_counters.h"
 
 #define METRIC "berylvane_account_answers_total"
+#define REFUSED_METRIC "berylvane_account_refused_priority_total"
+#define RECENT_METRIC "berylvane_account_recent_slots"
+#define USUAL_METRIC "berylvane_account_usual_slots"
 
-/* Counts by status, of targets and of the node itself. */
+/* Counts by status are of targets and of the node itself. */
 typedef struct {
     uint64_t counts[BV_ACCOUNT_STATUS_END][2];
+    uint64_t refused;
+    bv_account_rates_t rates;
 } account_counts_t;
 
 static const char *const status_names[] = {
@@ -86,6 +91,61 @@
     g_mutex_unlock(&mutex);
 }
 
+void
+bv_account_counters_add_refused(const char *account)
+{
+    g_mutex_lock(&mutex);
+    find_counts(account)->refused++;
+    g_mutex_unlock(&mutex);
+}
+
+bool
+bv_account_counters_set_rates(const char *account,
+                              const bv_account_rates_t *rates)
+{
+    g_mutex_lock(&mutex);
+    account_counts_t *counts =
+        accounts != NULL ? g_tree_lookup(accounts, account) : NULL;
+    if (counts != NULL) {
+        counts->rates = *rates;
+    }
+    g_mutex_unlock(&mutex);
+    return counts != NULL;
+}
+
+typedef struct {
+    void (*visit)(void *context, const char *account, uint64_t refused,
+                  const bv_account_rates_t *rates);
+    void *context;
+} demand_visitor_t;
+
+static gboolean
+visit_demand(gpointer name, gpointer value, gpointer data)
+{
+    const account_counts_t *counts = value;
+    const demand_visitor_t *visitor = data;
+    const char *account = name;
+    if (*account != '\0') {
+        visitor->visit(visitor->context, account, counts->refused,
+                       &counts->rates);
+    }
+    return FALSE;
+}
+
+void
+bv_account_counters_foreach_demand(
+    void (*visit)(void *context, const char *account, uint64_t refused,
+                  const bv_account_rates_t *rates),
+    void *context)
+{
+    demand_visitor_t visitor = {visit, context};
+    g_mutex_lock(&mutex);
+    if (accounts != NULL) {
+        g_tree_foreach(accounts, visit_demand, &visitor);
+    }
+    g_mutex_unlock(&mutex);
+}
+
 typedef struct {
     void (*visit)(void *context, const char *account,
                   bv_account_status_t status, bool is_own, uint64_t count);
@@ -145,20 +205,73 @@
         status_names[status], is_own ? "node" : "target", (guint64)count);
 }
 
-void
-bv_account_counters_render(GString *out)
+typedef struct {
+    GString *refused;
+    GString *recent;
+    GString *usual;
+} demand_lines_t;
+
+static void
+append_account(GString *out, const char *metric, const char *account)
+{
+    g_string_append_printf(out, "%s{account=\"", metric);
+    append_label(out, account);
+    g_string_append(out, "\"} ");
+}
+
+static void
+render_demand(void *context, const char *account, uint64_t refused,
+              const bv_account_rates_t *rates)
+{
+    const demand_lines_t *lines = context;
+    append_account(lines->refused, REFUSED_METRIC, account);
+    g_string_append_printf(lines->refused, "%" G_GUINT64_FORMAT "\n",
+                           (guint64)refused);
+    append_account(lines->recent, RECENT_METRIC, account);
+    g_string_append_printf(lines->recent, "%.6f\n", rates->recent_slots);
+    append_account(lines->usual, USUAL_METRIC, account);
+    g_string_append_printf(lines->usual, "%.6f\n", rates->usual_slots);
+}
+
+/* Appends and frees `lines`. */
+static void
+append_metric(GString *out, const char *metric, const char *help,
+              const char *type, GString *lines)
 {
-    GString *lines = g_string_new(NULL);
-    bv_account_counters_foreach(render_counter, lines);
     if (lines->len > 0) {
-        g_string_append(out, "# HELP " METRIC
-                             " answers to outside callers by account\n"
-                             "# TYPE " METRIC " counter\n");
+        g_string_append_printf(out, "# HELP %s %s\n# TYPE %s %s\n", metric,
+                               help, metric, type);
         g_string_append(out, lines->str);
     }
     g_string_free(lines, TRUE);
 }
 
+void
+bv_account_counters_render_demand(GString *out)
+{
+    demand_lines_t lines = {
+        .refused = g_string_new(NULL),
+        .recent = g_string_new(NULL),
+        .usual = g_string_new(NULL),
+    };
+    bv_account_counters_foreach_demand(render_demand, &lines);
+    append_metric(out, REFUSED_METRIC, "calls refused by priority by account",
+                  "counter", lines.refused);
+    append_metric(out, RECENT_METRIC, "recent demand of accounts in slots",
+                  "gauge", lines.recent);
+    append_metric(out, USUAL_METRIC, "usual demand of accounts in slots",
+                  "gauge", lines.usual);
+}
+
+void
+bv_account_counters_render(GString *out)
+{
+    GString *lines = g_string_new(NULL);
+    bv_account_counters_foreach(render_counter, lines);
+    append_metric(out, METRIC, "answers to outside callers by account",
+                  "counter", lines);
+}
+
 void
 bv_account_counters_clear(void)
 {
--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -377,17 +377,16 @@
     return g_hash_table_size(share->accounts);
 }
 
-bool
-bv_fair_share_usage(const bv_fair_share_t *share, int64_t now_us,
-                    const char *name, bv_fair_share_usage_t *usage)
+/* Returns false if the account has sent nothing. */
+static bool
+read_usage(const bv_fair_share_t *share, int64_t now_us,
+           const account_t *account, bv_fair_share_usage_t *usage)
 {
-    const account_t *account = g_hash_table_lookup(share->accounts, name);
-    account = account != NULL ? account : &share->others;
+    bool is_counted = false;
     *usage = (bv_fair_share_usage_t){
         .account =
             account->name != NULL ? account->name : BV_FAIR_SHARE_OTHERS,
     };
-    bool is_counted = false;
     for (int i = 0; i < CLASS_COUNT; i++) {
         const flow_t *flow = &account->flows[i];
         if (flow->updated_us == 0) {
@@ -400,3 +399,23 @@
     }
     return is_counted;
 }
+
+void
+bv_fair_share_foreach(const bv_fair_share_t *share, int64_t now_us,
+                      void (*visit)(void *context,
+                                    const bv_fair_share_usage_t *usage),
+                      void *context)
+{
+    bv_fair_share_usage_t usage;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, share->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (read_usage(share, now_us, value, &usage)) {
+            visit(context, &usage);
+        }
+    }
+    if (read_usage(share, now_us, &share->others, &usage)) {
+        visit(context, &usage);
+    }
+}
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -193,6 +193,23 @@
     }
 }
 
+/* Prints the refusals by priority and the rates; calls without an account, and
+ * nodes of earlier versions, have none. */
+static void
+print_demand(const json_t *usage)
+{
+    json_int_t refused;
+    double recent;
+    double usual;
+    if (json_unpack((json_t *)usage, "{s:I, s:F, s:F}", "refused_by_priority",
+                    &refused, "recent_slots", &recent, "usual_slots",
+                    &usual) == 0) {
+        printf(", %" JSON_INTEGER_FORMAT
+               " refused by priority, demand %.3f slots, usually %.3f",
+               refused, recent, usual);
+    }
+}
+
 static void
 print_accounts(const json_t *accounts)
 {
@@ -202,6 +219,7 @@
         printf("account %-16s", *name != '\0' ? name : "(none)");
         print_answers("target:", json_object_get(usage, "target"));
         print_answers("node:", json_object_get(usage, "node"));
+        print_demand(usage);
         printf("\n");
     }
 }
--- a/include/berylvane/common/account_counters.h
+++ b/include/berylvane/common/account_counters.h
@@ -12,7 +12,8 @@
  * The first BV_ACCOUNT_LABELS accounts that are counted have counters of their
  * own, so that a configuration with many accounts does not make the metrics
  * grow. Later ones are counted together as BV_ACCOUNT_OTHERS. Calls without an
- * account are counted under an empty name.
+ * account are counted under an empty name. The rates by which overload is
+ * shared are published beside the counters.
  */
 #define BV_ACCOUNT_LABELS 100
 #define BV_ACCOUNT_OTHERS "(others)"
@@ -48,7 +49,35 @@
                                                bool is_own, uint64_t count),
                                  void *context);
 
-/* Appends the counters to `out` in the Prometheus text format. */
+/* Counts a call of an account that was refused by its priority. */
+void bv_account_counters_add_refused(const char *account);
+
+/* Demand of an account at this node, in slots: slot time per time. */
+typedef struct {
+    double recent_slots;
+    double usual_slots;
+} bv_account_rates_t;
+
+/*
+ * Sets the rates of an account. Returns false, and sets nothing, if nothing is
+ * counted under this name.
+ */
+bool bv_account_counters_set_rates(const char *account,
+                                   const bv_account_rates_t *rates);
+
+/* Calls `visit` for each account with calls or rates, ordered by account. */
+void bv_account_counters_foreach_demand(
+    void (*visit)(void *context, const char *account, uint64_t refused,
+                  const bv_account_rates_t *rates),
+    void *context);
+
+/*
+ * Appends the refusals by priority and the rates of the accounts to `out` in
+ * the Prometheus text format.
+ */
+void bv_account_counters_render_demand(GString *out);
+
+/* Appends the counters of answers to `out` in the Prometheus text format. */
 void bv_account_counters_render(GString *out);
 
 /* Forgets all counters; for tests. */
--- a/include/berylvane/core/fair_share.h
+++ b/include/berylvane/core/fair_share.h
@@ -68,10 +68,12 @@
 uint32_t bv_fair_share_count(const bv_fair_share_t *share);
 
 /*
- * Returns the rates of an account, or those of the others if it is counted
- * with them; false if nothing was counted.
+ * Calls `visit` for each account with rates of its own, in no particular
+ * order, and then for the others together if there are any.
  */
-bool bv_fair_share_usage(const bv_fair_share_t *share, int64_t now_us,
-                         const char *account, bv_fair_share_usage_t *usage);
+void bv_fair_share_foreach(const bv_fair_share_t *share, int64_t now_us,
+                           void (*visit)(void *context,
+                                         const bv_fair_share_usage_t *usage),
+                           void *context);
 
 #endif
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -54,6 +54,9 @@
 /* Permits that this node lends and holds; see node/quotas.h. */
 typedef struct bv_quotas bv_quotas_t;
 
+/* Demand of the accounts that call here; see node/fair_shares.h. */
+typedef struct bv_fair_shares bv_fair_shares_t;
+
 /* Memory of the node; see node/memory.h. */
 typedef struct bv_memory bv_memory_t;
 
@@ -172,6 +175,7 @@
     GHashTable *key_queries;
     int64_t key_queries_due_us;
     bv_quotas_t *quotas;
+    bv_fair_shares_t *fair_shares;
     bv_router_t *router;
     bv_traffic_split_t *traffic_split;
     bv_admission_t *admission;
--- a/node/access.c
+++ b/node/access.c
@@ -331,6 +331,15 @@
     return STATUS_UNAUTHORIZED;
 }
 
+/* A full queue drops the work of the least priority. */
+static bool
+is_refused_by_priority(const bv_reply_t *reply)
+{
+    return reply->outcome != BV_OUTCOME_RAN &&
+           (reply->reason == BV_REASON_THRESHOLD ||
+            reply->reason == BV_REASON_QUEUE_FULL);
+}
+
 void
 bv_access_count_reply(const bv_call_state_t *state, const bv_reply_t *reply)
 {
@@ -341,4 +350,7 @@
     bv_account_counters_add(state->account != NULL ? state->account->name
                                                    : NULL,
                             reply->status, reply->outcome != BV_OUTCOME_RAN);
+    if (state->account != NULL && is_refused_by_priority(reply)) {
+        bv_account_counters_add_refused(state->account->name);
+    }
 }
--- a/node/calls.c
+++ b/node/calls.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/core/retry_after.h"
 #include "berylvane/node/access.h"
+#include "berylvane/node/fair_shares.h"
 #include "berylvane/node/keyed.h"
 #include "berylvane/node/memory.h"
 #include "berylvane/node/quotas.h"
@@ -206,6 +207,23 @@
     state->priority = bv_priority(state->route->importance, 0);
 }
 
+/*
+ * Overload is shared among the accounts by their demand. Without an account,
+ * the level is derived from the label or the customer that the caller names,
+ * so that shedding is spread over the calls.
+ */
+static uint8_t
+entry_level(bv_node_t *node, const bv_call_state_t *state,
+            bv_class_t importance)
+{
+    if (state->account != NULL) {
+        return bv_fair_shares_level(node, state, importance);
+    }
+    const char *name =
+        state->customer != NULL ? state->customer : state->call->label;
+    return bv_customer_level(name != NULL ? name : "");
+}
+
 static void
 init_entry(bv_node_t *node, bv_call_state_t *state)
 {
@@ -213,15 +231,10 @@
     uint32_t credits =
         state->bypasses_admission ? 0 : state->config->retry_credits;
     bv_credits_open(node->credits, &state->id, credits);
-    /*
-     * Without a client account, the priority level is derived from the
-     * label, so that shedding is spread over the calls.
-     */
-    const char *account =
-        state->customer != NULL ? state->customer : state->call->label;
+    bv_class_t importance =
+        bv_account_class(state->account, state->route->importance);
     state->priority =
-        bv_priority(bv_account_class(state->account, state->route->importance),
-                    bv_customer_level(account != NULL ? account : ""));
+        bv_priority(importance, entry_level(node, state, importance));
 }
 
 static void
@@ -494,6 +507,7 @@
     }
     bv_calls_tick_sessions(node);
     bv_access_tick(node);
+    bv_fair_shares_tick(node);
 }
 
 int64_t
--- a/node/node.c
+++ b/node/node.c
@@ -6,6 +6,7 @@
 #include "berylvane/common/log.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/call.h"
+#include "berylvane/node/fair_shares.h"
 #include "berylvane/node/memory.h"
 #include "berylvane/node/quotas.h"
 
@@ -100,6 +101,7 @@
     bv_keyed_create(node);
     bv_access_create(node);
     bv_quotas_create(node);
+    bv_fair_shares_create(node);
     node->admission = bv_admission_create(&admission);
     node->router = bv_router_create(&router);
     bv_node_placement_create(node);
@@ -353,6 +355,7 @@
     bv_backpressure_table_destroy(node->called_backpressure);
     bv_backpressure_table_destroy(node->downstream_backpressure);
     bv_admission_destroy(node->admission);
+    bv_fair_shares_destroy(node);
     bv_quotas_destroy(node);
     bv_keyed_destroy(node);
     bv_access_destroy(node);
--- a/node/routing.c
+++ b/node/routing.c
@@ -1,5 +1,5 @@
 #include "berylvane/common/counters.h"
-#include "berylvane/node/call.h"
+#include "berylvane/node/fair_shares.h"
 
 /*
  * Returns whether the downstream service sheds work of the route. A hedge
@@ -195,6 +195,8 @@
         bv_node_placement_read_report(node, message, &feedback);
         bv_router_settle(node->router, node->now_us, attempts[i].member,
                          &feedback);
+        bv_fair_shares_record_answer(node, state, message,
+                                     feedback.latency_us);
     }
     bv_backpressure_t report = {message->threshold, message->wait_us};
     bv_backpressure_table_report(node->called_backpressure, node->now_us,
--- a/node/status.c
+++ b/node/status.c
@@ -72,7 +72,25 @@
                         json_integer((json_int_t)count));
 }
 
-/* Answers by account, who gave them, and status; NULL without accounts. */
+static void
+add_demand(void *context, const char *account, uint64_t refused,
+           const bv_account_rates_t *rates)
+{
+    json_t *usage = json_object_get(context, account);
+    if (usage == NULL) {
+        usage = json_pack("{s:{}, s:{}}", "node", "target");
+        json_object_set_new(context, account, usage);
+    }
+    json_object_set_new(usage, "refused_by_priority",
+                        json_integer((json_int_t)refused));
+    json_object_set_new(usage, "recent_slots", json_real(rates->recent_slots));
+    json_object_set_new(usage, "usual_slots", json_real(rates->usual_slots));
+}
+
+/*
+ * Answers by account, who gave them, and status, with refusals by priority and
+ * rates; NULL without accounts.
+ */
 static json_t *
 render_accounts(const bv_node_t *node)
 {
@@ -81,6 +99,7 @@
     }
     json_t *accounts = json_object();
     bv_account_counters_foreach(add_usage, accounts);
+    bv_account_counters_foreach_demand(add_demand, accounts);
     return accounts;
 }
 
--- a/operator/listener.c
+++ b/operator/listener.c
@@ -64,6 +64,7 @@
         GString *text = g_string_new(NULL);
         bv_counters_render(text);
         bv_account_counters_render(text);
+        bv_account_counters_render_demand(text);
         bv_gauges_render(text, bv_clock_now_us());
         reply_text(call, 200, "text/plain; version=0.0.4",
                    g_string_free(text, FALSE));
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -16,6 +16,8 @@
  * statuses, heartbeats or configurations, or by accepting invalid ones.
  */
 #define POLL_US 20000
+/* Readings of a node's status until a change must be seen (60 s). */
+#define STATUS_READINGS 3000
 /* Longer than a node with few members waits between two scans. */
 #define SCANS_US (3 * BV_US_PER_S)
 
@@ -397,8 +399,8 @@
     close(fd);
 }
 
-static void
-check_status_page(void)
+static json_t *
+read_status_page(void)
 {
     bv_http_reply_t reply =
         platform_request(fixture.nodes[0].ports[PLATFORM_PORT_OPERATORS],
@@ -406,6 +408,37 @@
     gsize size;
     const char *text = g_bytes_get_data(reply.body, &size);
     json_t *status = json_loadb(text, size, 0, NULL);
+    bv_http_reply_clear(&reply);
+    return status;
+}
+
+/*
+ * Guards against calls of accounts that are not counted in the account's
+ * demand, which determines their priority. The demand is published each
+ * second.
+ */
+static void
+wait_for_demand(const char *account)
+{
+    double recent_slots = 0;
+    json_int_t refused = -1;
+    for (int i = 0; i < STATUS_READINGS && recent_slots <= 0; i++) {
+        json_t *status = read_status_page();
+        ck_assert_int_eq(json_unpack(status, "{s:{s:{s:I, s:F}}}", "accounts",
+                                     account, "refused_by_priority", &refused,
+                                     "recent_slots", &recent_slots),
+                         0);
+        json_decref(status);
+        g_usleep(POLL_US);
+    }
+    ck_assert_double_gt(recent_slots, 0);
+    ck_assert_int_eq(refused, 0);
+}
+
+static void
+check_status_page(void)
+{
+    json_t *status = read_status_page();
     const json_t *accounts = json_object_get(status, "accounts");
     const json_t *gold =
         json_object_get(json_object_get(accounts, "gold"), "target");
@@ -414,7 +447,7 @@
     ck_assert_int_gt(json_integer_value(json_object_get(gold, "2xx")), 0);
     ck_assert_int_gt(json_integer_value(json_object_get(none, "401")), 0);
     json_decref(status);
-    bv_http_reply_clear(&reply);
+    wait_for_demand("gold");
 }
 
 /* All steps share one deployment, and each depends on those before it. */
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -1,3 +1,4 @@
+#include "berylvane/common/account_counters.h"
 #include "berylvane/core/fair_share.h"
 #include "berylvane/core/route_cost.h"
 
@@ -5,6 +6,7 @@
 #include "support.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define SEED 7
 #define US_PER_MS 1000
@@ -235,6 +237,30 @@
 }
 END_TEST
 
+typedef struct {
+    const char *account;
+    bv_fair_share_usage_t usage;
+    bool is_found;
+} lookup_t;
+
+static void
+compare_account(void *context, const bv_fair_share_usage_t *usage)
+{
+    lookup_t *lookup = context;
+    if (strcmp(usage->account, lookup->account) == 0) {
+        lookup->usage = *usage;
+        lookup->is_found = true;
+    }
+}
+
+static lookup_t
+look_up(const feed_t *fed, const char *account)
+{
+    lookup_t lookup = {.account = account};
+    bv_fair_share_foreach(fed->share, fed->now_us, compare_account, &lookup);
+    return lookup;
+}
+
 /*
  * Guards against state that grows with the number of accounts, and against
  * accounts that keep their place for ever.
@@ -242,21 +268,20 @@
 START_TEST(test_accounts_limit)
 {
     bv_fair_share_options_t options = {.accounts_limit = 2};
-    bv_fair_share_usage_t usage;
     feed_t fed = {bv_fair_share_create(&options), US_PER_S};
     feed(&fed, "a", 1000, 10, 1);
     feed(&fed, "b", 1000, 10, 1);
-    ck_assert(!bv_fair_share_usage(fed.share, fed.now_us, "c", &usage));
+    ck_assert(!look_up(&fed, BV_FAIR_SHARE_OTHERS).is_found);
     feed(&fed, "c", 1000, 10, 1);
     feed(&fed, "d", 1000, 10, 1);
     ck_assert_uint_eq(bv_fair_share_count(fed.share), 2);
-    ck_assert(bv_fair_share_usage(fed.share, fed.now_us, "d", &usage));
-    ck_assert_str_eq(usage.account, BV_FAIR_SHARE_OTHERS);
+    ck_assert(look_up(&fed, BV_FAIR_SHARE_OTHERS).is_found);
+    ck_assert(!look_up(&fed, "d").is_found);
     feed(&fed, "a", 1000, 10, 700);
     feed(&fed, "d", 1000, 10, 1);
     ck_assert_uint_eq(bv_fair_share_count(fed.share), 2);
-    ck_assert(bv_fair_share_usage(fed.share, fed.now_us, "d", &usage));
-    ck_assert_str_eq(usage.account, "d");
+    ck_assert(look_up(&fed, "d").is_found);
+    ck_assert(!look_up(&fed, "b").is_found);
     bv_fair_share_destroy(fed.share);
 }
 END_TEST
@@ -265,16 +290,16 @@
 START_TEST(test_usage)
 {
     bv_fair_share_options_t options = {0};
-    bv_fair_share_usage_t usage;
     feed_t fed = {bv_fair_share_create(&options), US_PER_S};
     feed(&fed, "a", 20 * US_PER_MS, 100, 90);
     feed(&fed, "a", 20 * US_PER_MS, 300, 10);
-    ck_assert(bv_fair_share_usage(fed.share, fed.now_us, "a", &usage));
-    ck_assert(usage.is_learned);
-    ck_assert_double_ge(usage.recent_slots, 5.7);
-    ck_assert_double_le(usage.recent_slots, 6.1);
-    ck_assert_double_ge(usage.usual_slots, 1.95);
-    ck_assert_double_le(usage.usual_slots, 2.1);
+    lookup_t lookup = look_up(&fed, "a");
+    ck_assert(lookup.is_found);
+    ck_assert(lookup.usage.is_learned);
+    ck_assert_double_ge(lookup.usage.recent_slots, 5.7);
+    ck_assert_double_le(lookup.usage.recent_slots, 6.1);
+    ck_assert_double_ge(lookup.usage.usual_slots, 1.95);
+    ck_assert_double_le(lookup.usage.usual_slots, 2.1);
     bv_fair_share_destroy(fed.share);
 }
 END_TEST
@@ -300,6 +325,37 @@
 }
 END_TEST
 
+/*
+ * Guards against demand that is shown for calls without an account or for a
+ * name that has no label, and against metrics of other names or values.
+ */
+START_TEST(test_published_demand)
+{
+    bv_account_rates_t rates = {1.5, 0.25};
+    GString *text = g_string_new(NULL);
+    bv_account_counters_clear();
+    bv_account_counters_add(NULL, 200, false);
+    bv_account_counters_add("a", 503, true);
+    bv_account_counters_add_refused("a");
+    ck_assert(bv_account_counters_set_rates("a", &rates));
+    ck_assert(!bv_account_counters_set_rates("b", &rates));
+    bv_account_counters_render_demand(text);
+    ck_assert_ptr_nonnull(strstr(
+        text->str,
+        "\nberylvane_account_refused_priority_total{account=\"a\"} 1\n"));
+    ck_assert_ptr_nonnull(
+        strstr(text->str,
+               "\nberylvane_account_recent_slots{account=\"a\"} 1.500000\n"));
+    ck_assert_ptr_nonnull(
+        strstr(text->str,
+               "\nberylvane_account_usual_slots{account=\"a\"} 0.250000\n"));
+    ck_assert_ptr_null(strstr(text->str, "slots{account=\"\"}"));
+    ck_assert_ptr_null(strstr(text->str, "slots{account=\"b\"}"));
+    bv_account_counters_clear();
+    g_string_free(text, TRUE);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -307,6 +363,7 @@
         {"level", test_level, G_N_ELEMENTS(level_cases)},
         {"accounts_limit", test_accounts_limit, 1},
         {"usage", test_usage, 1},
+        {"published_demand", test_published_demand, 1},
         {"route_cost", test_route_cost, 1},
         {"ordinary_operation", test_ordinary_operation, 1},
         {"replay", test_replay, G_N_ELEMENTS(replay_cases)},
