--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -371,6 +371,12 @@
     return level_of_position(request->random * ratio);
 }
 
+bool
+bv_fair_share_has_own(const bv_fair_share_t *share, const char *account)
+{
+    return g_hash_table_contains(share->accounts, account);
+}
+
 uint32_t
 bv_fair_share_count(const bv_fair_share_t *share)
 {
--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -106,6 +106,8 @@
     X(QUOTA_NOT_LENT, "quota_not_lent",                                       \
       "permit requests refused, not the lessor")                              \
     X(QUOTA_FLOOR, "quota_floor", "calls admitted from the floor")            \
+    X(FAIR_SHARE_OTHERS, "fair_share_others",                                 \
+      "calls of accounts beyond those with rates of their own")               \
     X(INVARIANTS, "invariant_failures", "invariants found broken")
 
 typedef enum {
--- a/include/berylvane/core/fair_share.h
+++ b/include/berylvane/core/fair_share.h
@@ -64,6 +64,9 @@
 uint8_t bv_fair_share_level(bv_fair_share_t *share, int64_t now_us,
                             const bv_fair_share_request_t *request);
 
+/* Whether an account has rates of its own, and is not one of the others. */
+bool bv_fair_share_has_own(const bv_fair_share_t *share, const char *account);
+
 /* Number of accounts with rates of their own. */
 uint32_t bv_fair_share_count(const bv_fair_share_t *share);
 
--- a/node/fair_shares.c
+++ b/node/fair_shares.c
@@ -2,15 +2,19 @@
 
 #include "berylvane/common/account_counters.h"
 #include "berylvane/common/clock.h"
+#include "berylvane/common/counters.h"
+#include "berylvane/common/log.h"
 
 #include <string.h>
 
 #define PUBLISH_INTERVAL_US BV_US_PER_S
+#define LOG_INTERVAL_US (60 * BV_US_PER_S)
 
 struct bv_fair_shares {
     bv_fair_share_t *share;
     bv_route_costs_t *costs;
     int64_t publish_due_us;
+    int64_t log_due_us;
 };
 
 void
@@ -31,6 +35,18 @@
     g_free(node->fair_shares);
 }
 
+static void
+note_without_own(bv_node_t *node, const char *account)
+{
+    bv_fair_shares_t *shares = node->fair_shares;
+    bv_counter_add(BV_COUNT_FAIR_SHARE_OTHERS, 1);
+    if (node->now_us < shares->log_due_us) {
+        return;
+    }
+    shares->log_due_us = node->now_us + LOG_INTERVAL_US;
+    bv_log(BV_LOG_WARN, "fair_share_full", "account", account, NULL);
+}
+
 uint8_t
 bv_fair_shares_level(bv_node_t *node, const bv_call_state_t *state,
                      bv_class_t importance)
@@ -42,7 +58,11 @@
         .cost_us = bv_route_costs_get(shares->costs, state->route_hash),
         .random = g_rand_double(node->random),
     };
-    return bv_fair_share_level(shares->share, node->now_us, &request);
+    uint8_t level = bv_fair_share_level(shares->share, node->now_us, &request);
+    if (!bv_fair_share_has_own(shares->share, request.account)) {
+        note_without_own(node, request.account);
+    }
+    return level;
 }
 
 void
