Store fixture: a connection without data is not closed

test_store failed once beside other load, after 6 s in place of 0.2 s: a request timed out after 5 s and was sent on a fourth connection. An interrupted poll() leaves the events of the one before, and the fixture took EAGAIN for the end of the connection and never looked at it again. That this was the cause is likely but not shown: 40 further runs passed.

--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -6,6 +6,7 @@
 #include "berylvane/common/program.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -34,7 +35,13 @@
         if (entry->revents == 0) {
             continue;
         }
-        if (recv(entry->fd, buffer, sizeof(buffer), MSG_DONTWAIT) <= 0) {
+        ssize_t size = recv(entry->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (size < 0 && errno == EAGAIN) {
+            /* The events are those of an earlier poll if one is interrupted.
+             */
+            continue;
+        }
+        if (size <= 0) {
             entry->events = 0;
             continue;
         }
