--- a/tests/test_target_pause.c
+++ b/tests/test_target_pause.c
@@ -10,6 +10,9 @@
 #define PAUSED_RESPONSES 3
 #define PART_BYTES ((size_t)(100 * 1024))
 #define PARTS 3
+/* More than is read while memory is full, by less than a socket takes. */
+#define LATE_BYTES ((size_t)(96 * 1024))
+#define LATE_READ_BYTES ((size_t)(16 * 1024))
 
 typedef struct {
     const char *name;
@@ -29,9 +32,9 @@
 };
 
 static void
-send_part(target_fixture_t *fixture)
+send_bytes(target_fixture_t *fixture, size_t bytes)
 {
-    char *part = g_strnfill(PART_BYTES, 'a');
+    char *part = g_strnfill(bytes, 'a');
     scripted_target_send(fixture->target, part);
     g_free(part);
 }
@@ -47,7 +50,7 @@
     while (scripted_target_arrivals(fixture->target) < PAUSED_RESPONSES) {
         target_fixture_run_round(fixture);
     }
-    send_part(fixture);
+    send_bytes(fixture, PART_BYTES);
     while (bv_target_client_received_bytes(fixture->client) <
            PAUSED_RESPONSES * PART_BYTES) {
         target_fixture_run_round(fixture);
@@ -72,7 +75,7 @@
     start_responses(&fixture);
     fixture.is_memory_short = row->is_memory_short;
     fixture.is_memory_full = row->is_memory_full;
-    send_part(&fixture);
+    send_bytes(&fixture, PART_BYTES);
     target_fixture_settle(&fixture);
     ck_assert_msg(bv_target_client_received_bytes(fixture.client) ==
                       row->parts * PART_BYTES,
@@ -86,7 +89,7 @@
                          BV_OUTCOME_RAN, BV_REASON_NONE);
     fixture.is_memory_short = false;
     scripted_target_close_connection(fixture.target, PAUSED_RESPONSES);
-    send_part(&fixture);
+    send_bytes(&fixture, PART_BYTES);
     while (fixture.results < PAUSED_RESPONSES + 1) {
         target_fixture_run_round(&fixture);
         target_fixture_check(row->name, fixture.result, BV_OUTCOME_RAN,
@@ -106,23 +109,25 @@
 START_TEST(test_paused_response_is_delivered_late)
 {
     target_fixture_t fixture;
-    char *head =
-        g_strdup_printf(OK "Content-Length: %zu\r\n\r\n", 2 * PART_BYTES);
+    char *head = g_strdup_printf(OK "Content-Length: %zu\r\n\r\n", LATE_BYTES);
     const scripted_reply_t reply = {.bytes = head};
-    target_fixture_start(&fixture, &reply, 1);
+    target_fixture_start_reading(&fixture, &reply, 1, LATE_READ_BYTES);
     bv_target_work_t work = target_fixture_work(&fixture, "GET", "/large");
-    work.timeout_us = SHORT_TIMEOUT_US;
+    work.timeout_us = BV_US_PER_S;
     target_fixture_send(&fixture, &work);
     while (scripted_target_arrivals(fixture.target) == 0) {
         scripted_target_run(fixture.target);
     }
     fixture.is_memory_short = true;
     fixture.is_memory_full = true;
-    send_part(&fixture);
-    send_part(&fixture);
+    send_bytes(&fixture, LATE_BYTES);
+    while (scripted_target_unreceived(fixture.target) > 0) {
+        target_fixture_run_round(&fixture);
+    }
+    ck_assert_ptr_null(fixture.result);
     target_fixture_check("late", target_fixture_wait(&fixture), BV_OUTCOME_RAN,
                          BV_REASON_NONE);
-    ck_assert_uint_eq(g_bytes_get_size(fixture.result->body), 2 * PART_BYTES);
+    ck_assert_uint_eq(g_bytes_get_size(fixture.result->body), LATE_BYTES);
     target_fixture_stop(&fixture);
     g_free(head);
 }
