Memory for repeats that a fence requests is reserved

A node beside callers could receive a large response twice: a fence before the deadline requests it again while it is still on its way. Only one of the two was reserved; calls that may run once are fenced like all others.

Change: before the first fence of a call, bv_memory_reserve_repeat() reserves the expected size of the route's responses once more, until the call ends. If there is no room the fence is left out (counter fences_delayed_memory), and the next of the attempt's fences tries again; at worst the call ends as unknown at its deadline. Without a memory limit, for small responses and where no size is known nothing changes.

--- a/include/berylvane/common/counters.h
+++ b/include/berylvane/common/counters.h
@@ -96,6 +96,8 @@
       "request bodies not read, larger than a node passes on")                \
     X(CALLS_DELAYED_MEMORY, "calls_delayed_memory",                           \
       "calls whose responses waited for memory")                              \
+    X(FENCES_DELAYED_MEMORY, "fences_delayed_memory",                         \
+      "fences left out, since a repeated response has no memory")             \
     X(ANSWERS_PAUSED, "answers_paused",                                       \
       "target's responses not read on for a time, for lack of memory")        \
     X(CONNECTIONS_CLOSED_MEMORY, "connections_closed_memory",                 \
--- a/include/berylvane/node/call.h
+++ b/include/berylvane/node/call.h
@@ -52,6 +52,8 @@
     bool waits_for_permit;
     /* Memory reserved for the response. */
     uint64_t expected_bytes;
+    /* They include a repeat of the response, which a fence requests. */
+    bool has_reserved_repeat;
     /* The call counts among those of its route before a size was known. */
     bool has_unknown_size;
     /* Until when the call waits for memory; 0 if it does not. */
--- a/include/berylvane/node/memory.h
+++ b/include/berylvane/node/memory.h
@@ -31,6 +31,13 @@
  */
 bool bv_memory_reserve_or_wait(bv_node_t *node, bv_call_state_t *state);
 
+/*
+ * Reserves memory for a repeat of a call's response, which a fence requests:
+ * it may arrive beside the response itself. Returns false if there is none:
+ * the fence is then left out, and the next one of the attempt tries again.
+ */
+bool bv_memory_reserve_repeat(bv_node_t *node, bv_call_state_t *state);
+
 bool bv_memory_is_waiting(const bv_call_state_t *state);
 
 /* Refuses a waiting call. */
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/call.h"
+#include "berylvane/node/memory.h"
 
 #include <string.h>
 
@@ -120,7 +121,10 @@
 on_fence(void *context, bv_request_t *request, const bv_attempt_t *attempt)
 {
     bv_node_t *node = context;
-    const bv_call_state_t *state = bv_request_call(request);
+    bv_call_state_t *state = bv_request_call(request);
+    if (!bv_memory_reserve_repeat(node, state)) {
+        return;
+    }
     bv_peer_message_t *message = bv_peer_message_create(BV_PEER_FENCE);
     message->to_incarnation = attempt->incarnation;
     message->attempt = attempt->id;
--- a/node/memory.c
+++ b/node/memory.c
@@ -158,7 +158,7 @@
 static void
 reserve(bv_memory_t *memory, bv_call_state_t *state, uint64_t bytes)
 {
-    state->expected_bytes = bytes;
+    state->expected_bytes += bytes;
     memory->expected_bytes += bytes;
     memory->charged_bytes += bytes;
     bv_byte_account_charge(memory->account, bytes);
@@ -211,6 +211,24 @@
     return false;
 }
 
+bool
+bv_memory_reserve_repeat(bv_node_t *node, bv_call_state_t *state)
+{
+    bv_memory_t *memory = node->memory;
+    uint64_t bytes;
+    if (node->settings->memory_limit_mb == 0 || state->has_reserved_repeat ||
+        !is_size_known(memory, state, &bytes) || bytes <= SMALL_BYTES) {
+        return true;
+    }
+    if (!bv_byte_account_admits(memory->account, bytes)) {
+        bv_counter_add(BV_COUNT_FENCES_DELAYED_MEMORY, 1);
+        return false;
+    }
+    state->has_reserved_repeat = true;
+    reserve(memory, state, bytes);
+    return true;
+}
+
 void
 bv_memory_call_ended(bv_node_t *node, bv_call_state_t *state,
                      const bv_reply_t *reply)
@@ -218,6 +236,7 @@
     bv_memory_t *memory = node->memory;
     memory->expected_bytes -= state->expected_bytes;
     state->expected_bytes = 0;
+    state->has_reserved_repeat = false;
     state->memory_until_us = 0;
     if (state->has_unknown_size) {
         add_unknown(memory, state, -1);
--- a/tests/test_response_memory.c
+++ b/tests/test_response_memory.c
@@ -90,11 +90,72 @@
 }
 END_TEST
 
+/* A fence of an open call of route A, of which a response was received. */
+typedef struct {
+    const char *name;
+    const bv_route_t *route;
+    /* 0: no response was received. */
+    uint64_t response_bytes;
+    /* What others hold. */
+    uint64_t held_bytes;
+    bool is_sent;
+    uint64_t reserved_bytes;
+} fence_case_t;
+
+/* The bound of an instance of MEMORY_LIMIT_MB is 60 MB. */
+#define MB (UINT64_C(1024) * 1024)
+
+static const fence_case_t fence_cases[] = {
+    {"no size", &idempotent, 0, 0, true, 0},
+    {"no size, no memory", &idempotent, 0, 70 * MB, true, 0},
+    {"small", &idempotent, SMALL_RESPONSE_BYTES, 0, true, 0},
+    {"small, no memory", &idempotent, SMALL_RESPONSE_BYTES, 70 * MB, true, 0},
+    {"large", &idempotent, LARGE_BYTES, 0, true, LARGE_BYTES},
+    {"large, short of memory", &idempotent, LARGE_BYTES, 40 * MB, false, 0},
+    {"large, may run once", &once, LARGE_BYTES, 0, true, LARGE_BYTES},
+    {"large, may run once, short of memory", &once, LARGE_BYTES, 40 * MB,
+     false, 0},
+};
+
+/*
+ * Guards against repeats that arrive beside the responses that they repeat,
+ * for which no memory was set aside.
+ */
+START_TEST(test_fence)
+{
+    const fence_case_t *row = &fence_cases[_i];
+    bv_node_t node = {.settings = &settings};
+    bv_memory_create(&node);
+    bv_call_state_t first = make_call(row->route, ROUTE_A, 1);
+    bv_call_state_t call = make_call(row->route, ROUTE_A, 2);
+    bv_reply_t unknown = {.outcome = BV_OUTCOME_UNKNOWN};
+    ck_assert(bv_memory_reserve_or_wait(&node, &first));
+    if (row->response_bytes > 0) {
+        receive(&node, &first, row->response_bytes);
+    }
+    ck_assert(bv_memory_reserve_or_wait(&node, &call));
+    bv_byte_account_charge(node.account, row->held_bytes);
+    uint64_t used_bytes = bv_byte_account_used(node.account);
+    /* The next fence of the attempt reserves nothing more. */
+    for (int fence = 0; fence < 2; fence++) {
+        ck_assert_msg(bv_memory_reserve_repeat(&node, &call) == row->is_sent,
+                      "%s", row->name);
+        ck_assert_uint_eq(bv_byte_account_used(node.account) - used_bytes,
+                          row->reserved_bytes);
+    }
+    bv_memory_call_ended(&node, &call, &unknown);
+    ck_assert_uint_eq(call.expected_bytes, 0);
+    bv_memory_destroy(&node);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
-        {"reserve", test_reserve, G_N_ELEMENTS(cases)}, {NULL}};
+        {"reserve", test_reserve, G_N_ELEMENTS(cases)},
+        {"fence", test_fence, G_N_ELEMENTS(fence_cases)},
+        {NULL}};
     apr_pool_t *pool = bv_program_start();
     int status = support_run("response_memory", tests);
     bv_program_stop(pool);
