--- a/caller/connection.c
+++ b/caller/connection.c
@@ -90,7 +90,7 @@
         .limits = options->limits,
         .check_head = check_call_head,
         .context = connection,
-        .account = options->account,
+        .budget = options->budget,
     };
     connection->options = options;
     connection->fd = fd;
@@ -100,8 +100,8 @@
     connection->pipeline = bv_pipeline_create();
     connection->unread = g_byte_array_new();
     bv_output_init(&connection->output);
-    bv_byte_account_join(options->account, &connection->holder, connection,
-                         now_us);
+    bv_memory_budget_join(options->budget, &connection->holder, connection,
+                          now_us);
     watch(connection, EPOLL_CTL_ADD, EPOLLIN | EPOLLRDHUP);
     return connection;
 }
@@ -130,7 +130,7 @@
     bv_exchange_t *exchange;
     bool is_running;
     report_disconnects(connection);
-    bv_byte_account_leave(connection->options->account, &connection->holder);
+    bv_memory_budget_leave(connection->options->budget, &connection->holder);
     while ((exchange = bv_pipeline_remove_first(connection->pipeline,
                                                 &is_running)) != NULL) {
         exchange->connection = NULL;
@@ -164,36 +164,36 @@
 }
 
 static void
-update_account(bv_connection_t *connection)
+update_budget(bv_connection_t *connection)
 {
-    bv_byte_account_set(connection->options->account, &connection->holder,
-                        connection->now_us, held_bytes(connection),
-                        waits_for_caller(connection));
+    bv_memory_budget_set(connection->options->budget, &connection->holder,
+                         connection->now_us, held_bytes(connection),
+                         waits_for_caller(connection));
 }
 
 static void
 record_progress(bv_connection_t *connection, size_t bytes)
 {
     connection->active_us = connection->now_us;
-    bv_byte_account_move(&connection->holder, connection->now_us, bytes);
+    bv_memory_budget_move(&connection->holder, connection->now_us, bytes);
 }
 
 static bool
 is_memory_short(const bv_connection_t *connection)
 {
-    const bv_byte_account_t *account = connection->options->account;
-    return account != NULL &&
-           bv_byte_account_level(account) >= BV_BYTES_PAUSING;
+    const bv_memory_budget_t *budget = connection->options->budget;
+    return budget != NULL &&
+           bv_memory_budget_level(budget) >= BV_BYTES_PAUSING;
 }
 
 /* Whether memory permits reading. */
 static bool
 may_read(const bv_connection_t *connection)
 {
-    const bv_byte_account_t *account = connection->options->account;
-    return account == NULL ||
+    const bv_memory_budget_t *budget = connection->options->budget;
+    return budget == NULL ||
            bv_request_reader_is_reserved(connection->reader) ||
-           bv_byte_account_may_read(account, held_bytes(connection));
+           bv_memory_budget_may_read(budget, held_bytes(connection));
 }
 
 /* While memory is short, nothing is read ahead. */
@@ -427,8 +427,8 @@
 static void
 update_pause(bv_connection_t *connection)
 {
-    bv_byte_account_set_paused(&connection->holder, connection->now_us,
-                               is_paused(connection));
+    bv_memory_budget_set_paused(&connection->holder, connection->now_us,
+                                is_paused(connection));
 }
 
 static bool
@@ -477,7 +477,7 @@
         send_response_start(connection);
     }
     bool stays_open = end_if_done(connection);
-    update_account(connection);
+    update_budget(connection);
     update_pause(connection);
     update_watch(connection);
     return stays_open;
@@ -566,7 +566,7 @@
         return INT64_MAX;
     }
     int64_t stalled_since_us =
-        bv_byte_account_stalled_since_us(&connection->holder, now_us);
+        bv_memory_budget_stalled_since_us(&connection->holder, now_us);
     return MAX(connection->request_us, stalled_since_us);
 }
 
--- a/caller/connection.h
+++ b/caller/connection.h
@@ -18,7 +18,7 @@
     bv_listener_role_t role;
     const bv_connection_limits_t *limits;
     /* NULL for none; see bv_listener_options_t. */
-    bv_byte_account_t *account;
+    bv_memory_budget_t *budget;
     /* The epoll set that connections are watched in. */
     int epoll_fd;
     /* Callers that disconnect are reported; see bv_listener_options_t. */
@@ -58,7 +58,7 @@
 
 /*
  * Time since which a connection that may be closed for a new one, since no
- * call is open, neither moves bytes at the least rate of the byte account nor
+ * call is open, neither moves bytes at the least rate of the memory budget nor
  * completes requests; INT64_MAX for others.
  */
 int64_t bv_connection_idle_since_us(bv_connection_t *connection,
--- a/caller/listener.c
+++ b/caller/listener.c
@@ -51,7 +51,7 @@
     GQueue replied;
     /* Used with a thread only. */
     apr_thread_t *thread;
-    /* Bytes in the account; changed atomically. */
+    /* Bytes in the budget; changed atomically. */
     gsize held_bytes;
     int wake_fd;
     gint is_stopping;
@@ -353,9 +353,9 @@
 static bool
 is_memory_short(const bv_listener_t *listener)
 {
-    const bv_byte_account_t *account = listener->options.account;
-    return account != NULL &&
-           bv_byte_account_level(account) >= BV_BYTES_PAUSING;
+    const bv_memory_budget_t *budget = listener->options.budget;
+    return budget != NULL &&
+           bv_memory_budget_level(budget) >= BV_BYTES_PAUSING;
 }
 
 static void
@@ -379,7 +379,7 @@
         listener->needs_connection = false;
         close_idle(listener, now_us);
     }
-    if (listener->options.account != NULL) {
+    if (listener->options.budget != NULL) {
         resume_all(listener, now_us);
     }
     if (listener->socket_fd >= 0 && !listener->is_accepting) {
@@ -419,10 +419,10 @@
 static void
 publish_held_bytes(bv_listener_t *listener)
 {
-    const bv_byte_account_t *account = listener->options.account;
-    if (account != NULL) {
+    const bv_memory_budget_t *budget = listener->options.budget;
+    if (budget != NULL) {
         g_atomic_pointer_set(&listener->held_bytes,
-                             (gsize)bv_byte_account_used(account));
+                             (gsize)bv_memory_budget_used(budget));
     }
 }
 
@@ -527,7 +527,7 @@
         .dialect = listener->options.dialect,
         .role = options->role,
         .limits = &listener->limits,
-        .account = options->account,
+        .budget = options->budget,
         .epoll_fd = listener->epoll_fd,
         .reports_disconnects = options->on_disconnect != NULL,
         .pass_on = pass_on,
@@ -544,12 +544,12 @@
 }
 
 uint32_t
-bv_listener_relieve(bv_byte_account_t *account)
+bv_listener_relieve(bv_memory_budget_t *budget)
 {
     uint32_t count = 0;
     int64_t now_us = bv_clock_now_us();
     bv_byte_holder_t *holder;
-    while ((holder = bv_byte_account_victim(account, now_us)) != NULL) {
+    while ((holder = bv_memory_budget_victim(budget, now_us)) != NULL) {
         bv_connection_t *connection = holder->owner;
         remove_connection(bv_connection_listener(connection), connection);
         count++;
--- a/caller/request_reader.c
+++ b/caller/request_reader.c
@@ -51,9 +51,8 @@
 static uint16_t
 reserve_body(bv_request_reader_t *reader, uint64_t size)
 {
-    const bv_byte_account_t *account = reader->options.account;
-    if (account != NULL && size > 0 &&
-        !bv_byte_account_admits(account, size)) {
+    const bv_memory_budget_t *budget = reader->options.budget;
+    if (budget != NULL && size > 0 && !bv_memory_budget_admits(budget, size)) {
         reader->refusal_reason = BV_REASON_NO_MEMORY;
         return STATUS_UNAVAILABLE;
     }
--- a/caller/request_reader.h
+++ b/caller/request_reader.h
@@ -22,7 +22,7 @@
     uint16_t (*check_head)(void *context, const bv_call_t *call);
     void *context;
     /* Decides whether a large body is received; NULL: always. */
-    const bv_byte_account_t *account;
+    const bv_memory_budget_t *budget;
 } bv_request_reader_options_t;
 
 typedef struct {
--- a/core/byte_account.c
+++ b/core/memory_budget.c
@@ -1,4 +1,4 @@
-#include "berylvane/core/byte_account.h"
+#include "berylvane/core/memory_budget.h"
 
 #include "berylvane/common/clock.h"
 #include "berylvane/common/invariant.h"
@@ -29,8 +29,8 @@
 #define STALL_TIMEOUT_PAUSING_US (5 * BV_US_PER_S)
 #define STALL_TIMEOUT_REJECTING_US (2 * BV_US_PER_S)
 
-struct bv_byte_account {
-    bv_byte_account_options_t options;
+struct bv_memory_budget {
+    bv_memory_budget_options_t options;
     uint64_t used_bytes;
     uint64_t peak_bytes;
     /* The part of the used bytes that holders hold. */
@@ -40,103 +40,103 @@
 };
 
 uint64_t
-bv_byte_account_bound(uint64_t memory_bytes)
+bv_memory_budget_bound(uint64_t memory_bytes)
 {
     uint64_t left = memory_bytes > BASE_BYTES ? memory_bytes - BASE_BYTES : 0;
     left = left / SHARE_DENOMINATOR * SHARE_NUMERATOR;
     return MAX(left, memory_bytes / LEAST_SHARE);
 }
 
-bv_byte_account_t *
-bv_byte_account_create(const bv_byte_account_options_t *options)
+bv_memory_budget_t *
+bv_memory_budget_create(const bv_memory_budget_options_t *options)
 {
-    bv_byte_account_t *account = g_new0(bv_byte_account_t, 1);
-    account->options = *options;
-    account->holders = g_ptr_array_new();
-    return account;
+    bv_memory_budget_t *budget = g_new0(bv_memory_budget_t, 1);
+    budget->options = *options;
+    budget->holders = g_ptr_array_new();
+    return budget;
 }
 
 void
-bv_byte_account_destroy(bv_byte_account_t *account)
+bv_memory_budget_destroy(bv_memory_budget_t *budget)
 {
-    if (account == NULL) {
+    if (budget == NULL) {
         return;
     }
-    g_ptr_array_unref(account->holders);
-    g_free(account);
+    g_ptr_array_unref(budget->holders);
+    g_free(budget);
 }
 
 void
-bv_byte_account_set_bound(bv_byte_account_t *account, uint64_t bound_bytes)
+bv_memory_budget_set_bound(bv_memory_budget_t *budget, uint64_t bound_bytes)
 {
-    account->options.bound_bytes = bound_bytes;
+    budget->options.bound_bytes = bound_bytes;
 }
 
 void
-bv_byte_account_charge(bv_byte_account_t *account, uint64_t bytes)
+bv_memory_budget_charge(bv_memory_budget_t *budget, uint64_t bytes)
 {
-    account->used_bytes += bytes;
-    account->peak_bytes = MAX(account->peak_bytes, account->used_bytes);
+    budget->used_bytes += bytes;
+    budget->peak_bytes = MAX(budget->peak_bytes, budget->used_bytes);
 }
 
 void
-bv_byte_account_release(bv_byte_account_t *account, uint64_t bytes)
+bv_memory_budget_release(bv_memory_budget_t *budget, uint64_t bytes)
 {
-    bv_invariant(bytes <= account->used_bytes, "released_bytes_were_charged",
-                 "byte_account");
-    account->used_bytes -= MIN(bytes, account->used_bytes);
+    bv_invariant(bytes <= budget->used_bytes, "released_bytes_were_charged",
+                 "memory_budget");
+    budget->used_bytes -= MIN(bytes, budget->used_bytes);
 }
 
 void
-bv_byte_account_join(bv_byte_account_t *account, bv_byte_holder_t *holder,
-                     void *owner, int64_t now_us)
+bv_memory_budget_join(bv_memory_budget_t *budget, bv_byte_holder_t *holder,
+                      void *owner, int64_t now_us)
 {
     *holder = (bv_byte_holder_t){
         .owner = owner,
         .period_us = now_us,
         .progress_us = now_us,
     };
-    if (account != NULL) {
-        holder->index = account->holders->len;
-        g_ptr_array_add(account->holders, holder);
+    if (budget != NULL) {
+        holder->index = budget->holders->len;
+        g_ptr_array_add(budget->holders, holder);
     }
 }
 
 void
-bv_byte_account_leave(bv_byte_account_t *account, bv_byte_holder_t *holder)
+bv_memory_budget_leave(bv_memory_budget_t *budget, bv_byte_holder_t *holder)
 {
-    if (account == NULL) {
+    if (budget == NULL) {
         return;
     }
-    bv_byte_account_release(account, holder->bytes);
-    account->holders_bytes -= holder->bytes;
-    g_ptr_array_remove_index_fast(account->holders, holder->index);
-    if (holder->index < account->holders->len) {
-        bv_byte_holder_t *moved = account->holders->pdata[holder->index];
+    bv_memory_budget_release(budget, holder->bytes);
+    budget->holders_bytes -= holder->bytes;
+    g_ptr_array_remove_index_fast(budget->holders, holder->index);
+    if (holder->index < budget->holders->len) {
+        bv_byte_holder_t *moved = budget->holders->pdata[holder->index];
         moved->index = holder->index;
     }
     holder->bytes = 0;
 }
 
 static void
-set_bytes(bv_byte_account_t *account, bv_byte_holder_t *holder, uint64_t bytes)
+set_bytes(bv_memory_budget_t *budget, bv_byte_holder_t *holder, uint64_t bytes)
 {
     if (bytes > holder->bytes) {
-        bv_byte_account_charge(account, bytes - holder->bytes);
+        bv_memory_budget_charge(budget, bytes - holder->bytes);
     }
     else {
-        bv_byte_account_release(account, holder->bytes - bytes);
+        bv_memory_budget_release(budget, holder->bytes - bytes);
     }
-    account->holders_bytes += bytes - holder->bytes;
+    budget->holders_bytes += bytes - holder->bytes;
     holder->bytes = bytes;
 }
 
 void
-bv_byte_account_set(bv_byte_account_t *account, bv_byte_holder_t *holder,
-                    int64_t now_us, uint64_t bytes, bool is_waiting)
+bv_memory_budget_set(bv_memory_budget_t *budget, bv_byte_holder_t *holder,
+                     int64_t now_us, uint64_t bytes, bool is_waiting)
 {
-    if (account != NULL) {
-        set_bytes(account, holder, bytes);
+    if (budget != NULL) {
+        set_bytes(budget, holder, bytes);
     }
     if (is_waiting && !holder->is_waiting) {
         holder->waiting_since_us = now_us;
@@ -162,15 +162,15 @@
 }
 
 void
-bv_byte_account_move(bv_byte_holder_t *holder, int64_t now_us, uint64_t bytes)
+bv_memory_budget_move(bv_byte_holder_t *holder, int64_t now_us, uint64_t bytes)
 {
     renew_period(holder, now_us);
     holder->moved_bytes += bytes;
 }
 
 void
-bv_byte_account_set_paused(bv_byte_holder_t *holder, int64_t now_us,
-                           bool is_paused)
+bv_memory_budget_set_paused(bv_byte_holder_t *holder, int64_t now_us,
+                            bool is_paused)
 {
     if (holder->is_paused && !is_paused) {
         holder->waiting_since_us = now_us;
@@ -179,7 +179,7 @@
 }
 
 int64_t
-bv_byte_account_stalled_since_us(bv_byte_holder_t *holder, int64_t now_us)
+bv_memory_budget_stalled_since_us(bv_byte_holder_t *holder, int64_t now_us)
 {
     renew_period(holder, now_us);
     int64_t elapsed_us = now_us - holder->period_us;
@@ -198,60 +198,60 @@
 }
 
 uint64_t
-bv_byte_account_used(const bv_byte_account_t *account)
+bv_memory_budget_used(const bv_memory_budget_t *budget)
 {
-    return account->used_bytes;
+    return budget->used_bytes;
 }
 
 uint64_t
-bv_byte_account_peak(const bv_byte_account_t *account)
+bv_memory_budget_peak(const bv_memory_budget_t *budget)
 {
-    return account->peak_bytes;
+    return budget->peak_bytes;
 }
 
 static uint64_t
-threshold(const bv_byte_account_t *account, uint64_t percent)
+threshold(const bv_memory_budget_t *budget, uint64_t percent)
 {
-    return account->options.bound_bytes / 100 * percent;
+    return budget->options.bound_bytes / 100 * percent;
 }
 
 bv_byte_level_t
-bv_byte_account_level(const bv_byte_account_t *account)
+bv_memory_budget_level(const bv_memory_budget_t *budget)
 {
-    uint64_t bound = account->options.bound_bytes;
-    uint64_t used = account->used_bytes;
-    if (bound == 0 || used < threshold(account, PAUSING_PERCENT)) {
+    uint64_t bound = budget->options.bound_bytes;
+    uint64_t used = budget->used_bytes;
+    if (bound == 0 || used < threshold(budget, PAUSING_PERCENT)) {
         return BV_BYTES_NORMAL;
     }
-    if (used < threshold(account, REJECTING_PERCENT)) {
+    if (used < threshold(budget, REJECTING_PERCENT)) {
         return BV_BYTES_PAUSING;
     }
     return used < bound ? BV_BYTES_REJECTING : BV_BYTES_FULL;
 }
 
 bool
-bv_byte_account_admits(const bv_byte_account_t *account, uint64_t bytes)
+bv_memory_budget_admits(const bv_memory_budget_t *budget, uint64_t bytes)
 {
-    if (account->options.bound_bytes == 0) {
+    if (budget->options.bound_bytes == 0) {
         return true;
     }
-    uint64_t limit = bytes <= account->options.small_bytes
-                         ? account->options.bound_bytes
-                         : threshold(account, REJECTING_PERCENT);
+    uint64_t limit = bytes <= budget->options.small_bytes
+                         ? budget->options.bound_bytes
+                         : threshold(budget, REJECTING_PERCENT);
     /* A single item is admitted, however large, while little is held. */
-    return account->used_bytes + bytes <= limit ||
-           bv_byte_account_level(account) == BV_BYTES_NORMAL;
+    return budget->used_bytes + bytes <= limit ||
+           bv_memory_budget_level(budget) == BV_BYTES_NORMAL;
 }
 
 bool
-bv_byte_account_may_read(const bv_byte_account_t *account, uint64_t bytes)
+bv_memory_budget_may_read(const bv_memory_budget_t *budget, uint64_t bytes)
 {
-    switch (bv_byte_account_level(account)) {
+    switch (bv_memory_budget_level(budget)) {
     case BV_BYTES_NORMAL:
         return true;
     case BV_BYTES_PAUSING:
     case BV_BYTES_REJECTING:
-        return bytes <= account->options.small_bytes;
+        return bytes <= budget->options.small_bytes;
     case BV_BYTES_FULL:
         break;
     }
@@ -259,16 +259,16 @@
 }
 
 static bool
-is_stalled(const bv_byte_account_t *account, const bv_byte_holder_t *holder,
+is_stalled(const bv_memory_budget_t *budget, const bv_byte_holder_t *holder,
            int64_t now_us)
 {
     int64_t stall_timeout_us =
-        bv_byte_account_level(account) == BV_BYTES_PAUSING
+        bv_memory_budget_level(budget) == BV_BYTES_PAUSING
             ? STALL_TIMEOUT_PAUSING_US
             : STALL_TIMEOUT_REJECTING_US;
     int64_t since_us = MAX(holder->waiting_since_us, holder->progress_us);
-    return holder->bytes > account->options.small_bytes &&
-           !holder->is_paused && current_rate(holder) < MIN_RATE_BYTES_PER_S &&
+    return holder->bytes > budget->options.small_bytes && !holder->is_paused &&
+           current_rate(holder) < MIN_RATE_BYTES_PER_S &&
            now_us - since_us >= stall_timeout_us;
 }
 
@@ -285,10 +285,10 @@
 }
 
 bool
-bv_byte_account_can_relieve(const bv_byte_account_t *account, uint64_t bytes)
+bv_memory_budget_can_relieve(const bv_memory_budget_t *budget, uint64_t bytes)
 {
-    uint64_t relieved_bytes = account->holders_bytes + bytes;
-    return account->used_bytes < account->options.bound_bytes + relieved_bytes;
+    uint64_t relieved_bytes = budget->holders_bytes + bytes;
+    return budget->used_bytes < budget->options.bound_bytes + relieved_bytes;
 }
 
 /*
@@ -307,22 +307,22 @@
 }
 
 bv_byte_holder_t *
-bv_byte_account_victim(bv_byte_account_t *account, int64_t now_us)
+bv_memory_budget_victim(bv_memory_budget_t *budget, int64_t now_us)
 {
-    bv_byte_level_t level = bv_byte_account_level(account);
+    bv_byte_level_t level = bv_memory_budget_level(budget);
     bv_byte_holder_t *victim = NULL;
     if (level == BV_BYTES_NORMAL) {
         return NULL;
     }
-    /* If caches and queues alone fill the account, closing does not help. */
+    /* If caches and queues alone fill the budget, closing does not help. */
     bool closes_any =
-        level == BV_BYTES_FULL && bv_byte_account_can_relieve(account, 0);
-    for (guint i = 0; i < account->holders->len; i++) {
-        bv_byte_holder_t *holder = account->holders->pdata[i];
+        level == BV_BYTES_FULL && bv_memory_budget_can_relieve(budget, 0);
+    for (guint i = 0; i < budget->holders->len; i++) {
+        bv_byte_holder_t *holder = budget->holders->pdata[i];
         renew_period(holder, now_us);
         bool may_close = holder->is_waiting &&
                          holder->bytes > BV_BYTE_HOLDER_OWN_BYTES &&
-                         (closes_any || is_stalled(account, holder, now_us));
+                         (closes_any || is_stalled(budget, holder, now_us));
         if (may_close && is_closed_before(holder, victim)) {
             victim = holder;
         }
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -2,7 +2,7 @@
 #define BERYLVANE_CALLER_LISTENER_H
 
 #include "berylvane/caller/dialect.h"
-#include "berylvane/core/byte_account.h"
+#include "berylvane/core/memory_budget.h"
 
 /*
  * listener - HTTP server for calls of outside callers or of the local target
@@ -62,11 +62,11 @@
      */
     bool is_threadless;
     /*
-     * Account of the bytes that the connections hold; NULL for none. Used on
+     * Budget for the bytes that the connections hold; NULL for none. Used on
      * the listener's thread only: a listener that is not threadless needs one
      * of its own.
      */
-    bv_byte_account_t *account;
+    bv_memory_budget_t *budget;
     /*
      * Largest number of connections; 0 selects the default. When it is
      * reached, idle ones are closed for new ones.
@@ -127,14 +127,14 @@
                             const bv_listener_limits_t *limits);
 
 /*
- * Closes the connections of all listeners with this account that are to be
+ * Closes the connections of all listeners with this budget that are to be
  * closed; returns their number. Must not be called within a callback.
  */
-uint32_t bv_listener_relieve(bv_byte_account_t *account);
+uint32_t bv_listener_relieve(bv_memory_budget_t *budget);
 
 /*
- * Returns what the account of a listener with a thread held after its latest
- * events; 0 without an account. For any thread.
+ * Returns what the budget of a listener with a thread held after its latest
+ * events; 0 without an budget. For any thread.
  */
 size_t bv_listener_held_bytes(const bv_listener_t *listener);
 
--- a/include/berylvane/core/peer_intake.h
+++ b/include/berylvane/core/peer_intake.h
@@ -1,7 +1,7 @@
 #ifndef BERYLVANE_CORE_PEER_INTAKE_H
 #define BERYLVANE_CORE_PEER_INTAKE_H
 
-#include "berylvane/core/byte_account.h"
+#include "berylvane/core/memory_budget.h"
 
 /*
  * peer_intake - how much a node reads from its peers while memory is short
@@ -31,7 +31,7 @@
  * that waits to be sent to peers.
  */
 void bv_peer_intake_update(bv_peer_intake_t *intake, int64_t now_us,
-                           const bv_byte_account_t *account,
+                           const bv_memory_budget_t *account,
                            uint64_t queued_bytes);
 
 /*
--- a/include/berylvane/node/memory.h
+++ b/include/berylvane/node/memory.h
@@ -6,11 +6,11 @@
 /*
  * memory - keeps the node within the memory of its instance
  *
- * Owns the byte account (core/byte_account) and charges to it what no listener
- * holds: responses that are expected or being received, work for the local
- * target, responses kept for repeats, and messages queued for peers. While
- * memory is short, calls whose responses are expected to be large wait here
- * before they are sent to another node, which holds nothing for them yet.
+ * Owns the memory budget (core/memory_budget) and charges to it what no
+ * listener holds: responses that are expected or being received, work for the
+ * local target, responses kept for repeats, and messages queued for peers.
+ * While memory is short, calls whose responses are expected to be large wait
+ * here before they are sent to another node, which holds nothing for them yet.
  * Without the setting memory_limit_mb nothing is limited.
  */
 
@@ -69,7 +69,7 @@
                             const bv_peer_message_t *dispatch);
 
 /*
- * Updates the account, closes connections and starts calls that waited; runs
+ * Updates the budget, closes connections and starts calls that waited; runs
  * in each iteration of the loop.
  */
 void bv_memory_tick(bv_node_t *node);
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -142,7 +142,7 @@
     GQueue loopback_messages;
     bv_memory_t *memory;
     /* Owned by `memory`. */
-    bv_byte_account_t *account;
+    bv_memory_budget_t *memory_budget;
     int64_t now_us;
     int64_t started_us;
     uint64_t incarnation;
--- a/node/memory.c
+++ b/node/memory.c
@@ -33,7 +33,7 @@
 #define BOUNDED_MMAP_THRESHOLD_BYTES (128 * 1024)
 
 struct bv_memory {
-    bv_byte_account_t *account;
+    bv_memory_budget_t *budget;
     /* Bytes that bv_memory_tick() charged in the last iteration. */
     uint64_t charged_bytes;
     /* Bodies of the work for the local target. */
@@ -55,19 +55,19 @@
 static uint64_t
 bound_of(const bv_settings_t *settings)
 {
-    return bv_byte_account_bound((uint64_t)settings->memory_limit_mb *
-                                 BYTES_PER_MB);
+    return bv_memory_budget_bound((uint64_t)settings->memory_limit_mb *
+                                  BYTES_PER_MB);
 }
 
 void
 bv_memory_create(bv_node_t *node)
 {
     bv_memory_t *memory = g_new0(bv_memory_t, 1);
-    bv_byte_account_options_t options = {
+    bv_memory_budget_options_t options = {
         .bound_bytes = bound_of(node->settings),
         .small_bytes = SMALL_BYTES,
     };
-    memory->account = bv_byte_account_create(&options);
+    memory->budget = bv_memory_budget_create(&options);
     memory->expected_by_route = g_hash_table_new(NULL, NULL);
     memory->unknown_calls = g_hash_table_new(NULL, NULL);
     g_queue_init(&memory->waiting);
@@ -75,7 +75,7 @@
         mallopt(M_MMAP_THRESHOLD, BOUNDED_MMAP_THRESHOLD_BYTES);
     }
     node->memory = memory;
-    node->account = memory->account;
+    node->memory_budget = memory->budget;
 }
 
 void
@@ -85,14 +85,14 @@
     g_queue_clear_full(&memory->waiting, g_free);
     g_hash_table_destroy(memory->expected_by_route);
     g_hash_table_destroy(memory->unknown_calls);
-    bv_byte_account_destroy(memory->account);
+    bv_memory_budget_destroy(memory->budget);
     g_free(memory);
 }
 
 void
 bv_memory_apply_settings(bv_node_t *node)
 {
-    bv_byte_account_set_bound(node->account, bound_of(node->settings));
+    bv_memory_budget_set_bound(node->memory_budget, bound_of(node->settings));
 }
 
 uint32_t
@@ -161,7 +161,7 @@
     state->expected_bytes += bytes;
     memory->expected_bytes += bytes;
     memory->charged_bytes += bytes;
-    bv_byte_account_charge(memory->account, bytes);
+    bv_memory_budget_charge(memory->budget, bytes);
 }
 
 /*
@@ -183,7 +183,7 @@
         return true;
     }
     if (bytes > SMALL_BYTES &&
-        (!*has_turn || !bv_byte_account_admits(memory->account, bytes))) {
+        (!*has_turn || !bv_memory_budget_admits(memory->budget, bytes))) {
         *has_turn = false;
         return false;
     }
@@ -220,7 +220,7 @@
         !is_size_known(memory, state, &bytes) || bytes <= SMALL_BYTES) {
         return true;
     }
-    if (!bv_byte_account_admits(memory->account, bytes)) {
+    if (!bv_memory_budget_admits(memory->budget, bytes)) {
         bv_counter_add(BV_COUNT_FENCES_DELAYED_MEMORY, 1);
         return false;
     }
@@ -257,7 +257,7 @@
 bool
 bv_memory_refuses(const bv_node_t *node, const bv_peer_message_t *dispatch)
 {
-    return !bv_byte_account_admits(node->account, body_bytes(dispatch));
+    return !bv_memory_budget_admits(node->memory_budget, body_bytes(dispatch));
 }
 
 void
@@ -274,7 +274,7 @@
 
 /* Charges what has changed since the last iteration. */
 static void
-update_account(bv_node_t *node)
+update_budget(bv_node_t *node)
 {
     bv_memory_t *memory = node->memory;
     uint64_t bytes = memory->work_bytes + memory->expected_bytes +
@@ -284,17 +284,17 @@
                      bv_target_client_received_bytes(node->target_client) +
                      bv_link_queued_bytes(node->link);
     if (bytes > memory->charged_bytes) {
-        bv_byte_account_charge(memory->account, bytes - memory->charged_bytes);
+        bv_memory_budget_charge(memory->budget, bytes - memory->charged_bytes);
     }
     else {
-        bv_byte_account_release(memory->account,
-                                memory->charged_bytes - bytes);
+        bv_memory_budget_release(memory->budget,
+                                 memory->charged_bytes - bytes);
     }
     memory->charged_bytes = bytes;
     bv_gauge_set(BV_GAUGE_HELD_BYTES,
-                 (int64_t)bv_byte_account_used(memory->account));
+                 (int64_t)bv_memory_budget_used(memory->budget));
     bv_gauge_set(BV_GAUGE_HELD_BYTES_PEAK,
-                 (int64_t)bv_byte_account_peak(memory->account));
+                 (int64_t)bv_memory_budget_peak(memory->budget));
 }
 
 /*
@@ -304,8 +304,8 @@
 static bool
 do_readers_relieve(const bv_node_t *node)
 {
-    return bv_byte_account_can_relieve(node->account,
-                                       bv_link_queued_bytes(node->link));
+    return bv_memory_budget_can_relieve(node->memory_budget,
+                                        bv_link_queued_bytes(node->link));
 }
 
 bool
@@ -315,12 +315,12 @@
         return true;
     }
     /* Many responses may have grown since the last iteration. */
-    update_account(node);
+    update_budget(node);
     if (has_turn) {
-        return bv_byte_account_level(node->account) < BV_BYTES_FULL ||
+        return bv_memory_budget_level(node->memory_budget) < BV_BYTES_FULL ||
                !do_readers_relieve(node);
     }
-    return bv_byte_account_may_read(node->account, bytes);
+    return bv_memory_budget_may_read(node->memory_budget, bytes);
 }
 
 static void
@@ -328,7 +328,7 @@
 {
     bv_peer_intake_t *intake = &node->memory->peer_intake;
     uint64_t pauses = intake->pauses;
-    bv_peer_intake_update(intake, node->now_us, node->account,
+    bv_peer_intake_update(intake, node->now_us, node->memory_budget,
                           bv_link_queued_bytes(node->link));
     bv_counter_add(BV_COUNT_PEER_PAUSES, intake->pauses - pauses);
 }
@@ -343,13 +343,13 @@
 close_connections(bv_node_t *node)
 {
     bv_memory_t *memory = node->memory;
-    if (bv_byte_account_level(memory->account) >= BV_BYTES_PAUSING) {
-        memory->closed_count += bv_listener_relieve(memory->account);
+    if (bv_memory_budget_level(memory->budget) >= BV_BYTES_PAUSING) {
+        memory->closed_count += bv_listener_relieve(memory->budget);
     }
     if (memory->closed_count > 0 && node->now_us >= memory->log_due_us) {
         bv_log(BV_LOG_WARN, "connections_closed", "reason", "memory", "count",
                BV_NUM(memory->closed_count), "held_bytes",
-               BV_NUM((gint64)bv_byte_account_used(memory->account)), NULL);
+               BV_NUM((gint64)bv_memory_budget_used(memory->budget)), NULL);
         memory->closed_count = 0;
         memory->log_due_us = node->now_us + LOG_INTERVAL_US;
     }
@@ -410,7 +410,7 @@
 void
 bv_memory_tick(bv_node_t *node)
 {
-    update_account(node);
+    update_budget(node);
     update_peer_intake(node);
     if (node->settings->memory_limit_mb == 0 &&
         node->memory->waiting.length == 0) {
--- a/node/node.c
+++ b/node/node.c
@@ -223,7 +223,7 @@
         .may_run_ahead = takes_calls ? bv_calls_may_run_ahead : NULL,
         .on_disconnect = takes_calls ? on_caller_gone : NULL,
         .is_threadless = true,
-        .account = node->account,
+        .budget = node->memory_budget,
         .connections_limit = bv_memory_connections_limit(node, role),
         .context = node,
     };
--- a/operator/listener.c
+++ b/operator/listener.c
@@ -16,7 +16,7 @@
     bv_operator_listener_options_t options;
     char *authorization;
     /* Without a bound, and used on the listener's thread only. */
-    bv_byte_account_t *account;
+    bv_memory_budget_t *budget;
     bv_listener_t *listener;
 };
 
@@ -89,19 +89,19 @@
     if (options->token != NULL) {
         listener->authorization = g_strconcat("Bearer ", options->token, NULL);
     }
-    bv_byte_account_options_t unbounded = {0};
-    listener->account = bv_byte_account_create(&unbounded);
+    bv_memory_budget_options_t unbounded = {0};
+    listener->budget = bv_memory_budget_create(&unbounded);
     bv_listener_options_t http_options = {
         .address = options->address,
         .port = options->port,
         .limits = {.body_bytes = BODY_LIMIT_BYTES},
-        .account = listener->account,
+        .budget = listener->budget,
         .on_call = handle_call,
         .context = listener,
     };
     listener->listener = bv_listener_start(&http_options, error);
     if (listener->listener == NULL) {
-        bv_byte_account_destroy(listener->account);
+        bv_memory_budget_destroy(listener->budget);
         g_free(listener->authorization);
         g_free(listener);
         return NULL;
@@ -134,7 +134,7 @@
         return;
     }
     bv_listener_stop(listener->listener);
-    bv_byte_account_destroy(listener->account);
+    bv_memory_budget_destroy(listener->budget);
     g_free(listener->authorization);
     g_free(listener);
 }
--- a/tests/test_byte_account.c
+++ b/tests/test_memory_budget.c
@@ -1,6 +1,6 @@
 #include "berylvane/common/clock.h"
-#include "berylvane/core/byte_account.h"
 #include "berylvane/core/descriptor_shares.h"
+#include "berylvane/core/memory_budget.h"
 #include "support.h"
 
 #include <string.h>
@@ -16,12 +16,12 @@
 #define BOUND_BYTES (100 * MB)
 #define HOLDERS_MAX 4
 
-static bv_byte_account_t *
-create_account(uint64_t bound_bytes)
+static bv_memory_budget_t *
+create_budget(uint64_t bound_bytes)
 {
-    bv_byte_account_options_t options = {.bound_bytes = bound_bytes,
-                                         .small_bytes = SMALL_BYTES};
-    return bv_byte_account_create(&options);
+    bv_memory_budget_options_t options = {.bound_bytes = bound_bytes,
+                                          .small_bytes = SMALL_BYTES};
+    return bv_memory_budget_create(&options);
 }
 
 typedef struct {
@@ -53,21 +53,21 @@
 START_TEST(test_levels)
 {
     const level_case_t *row = &level_cases[_i];
-    bv_byte_account_t *account = create_account(row->bound_bytes);
-    bv_byte_account_charge(account, row->used_bytes);
-    ck_assert_int_eq(bv_byte_account_level(account), row->level);
-    ck_assert_int_eq(bv_byte_account_admits(account, SMALL_BYTES),
+    bv_memory_budget_t *budget = create_budget(row->bound_bytes);
+    bv_memory_budget_charge(budget, row->used_bytes);
+    ck_assert_int_eq(bv_memory_budget_level(budget), row->level);
+    ck_assert_int_eq(bv_memory_budget_admits(budget, SMALL_BYTES),
                      row->admits_small);
-    ck_assert_int_eq(bv_byte_account_admits(account, 7 * MB),
+    ck_assert_int_eq(bv_memory_budget_admits(budget, 7 * MB),
                      row->admits_large);
-    ck_assert_int_eq(bv_byte_account_may_read(account, SMALL_BYTES),
+    ck_assert_int_eq(bv_memory_budget_may_read(budget, SMALL_BYTES),
                      row->reads_small);
-    ck_assert_int_eq(bv_byte_account_may_read(account, 7 * MB),
+    ck_assert_int_eq(bv_memory_budget_may_read(budget, 7 * MB),
                      row->reads_large);
-    bv_byte_account_release(account, row->used_bytes);
-    ck_assert_uint_eq(bv_byte_account_used(account), 0);
-    ck_assert_uint_eq(bv_byte_account_peak(account), row->used_bytes);
-    bv_byte_account_destroy(account);
+    bv_memory_budget_release(budget, row->used_bytes);
+    ck_assert_uint_eq(bv_memory_budget_used(budget), 0);
+    ck_assert_uint_eq(bv_memory_budget_peak(budget), row->used_bytes);
+    bv_memory_budget_destroy(budget);
 }
 END_TEST
 
@@ -143,36 +143,36 @@
 START_TEST(test_victims)
 {
     const victim_case_t *row = &victim_cases[_i];
-    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_memory_budget_t *budget = create_budget(BOUND_BYTES);
     bv_byte_holder_t holders[HOLDERS_MAX];
     int64_t now_us = BV_US_PER_S;
-    bv_byte_account_charge(account, row->charged_bytes);
+    bv_memory_budget_charge(budget, row->charged_bytes);
     for (int i = 0; i < HOLDERS_MAX; i++) {
-        bv_byte_account_join(account, &holders[i], &holders[i], now_us);
-        bv_byte_account_set(account, &holders[i], now_us,
-                            row->holders[i].bytes,
-                            row->holders[i].state != SERVED);
-        bv_byte_account_set_paused(&holders[i], now_us,
-                                   row->holders[i].state == PAUSED);
+        bv_memory_budget_join(budget, &holders[i], &holders[i], now_us);
+        bv_memory_budget_set(budget, &holders[i], now_us,
+                             row->holders[i].bytes,
+                             row->holders[i].state != SERVED);
+        bv_memory_budget_set_paused(&holders[i], now_us,
+                                    row->holders[i].state == PAUSED);
     }
     for (int second = 0; second < row->seconds; second++) {
         for (int i = 0; i < HOLDERS_MAX; i++) {
-            bv_byte_account_move(&holders[i], now_us, row->holders[i].rate);
+            bv_memory_budget_move(&holders[i], now_us, row->holders[i].rate);
         }
         now_us += BV_US_PER_S;
         if (second + 1 < row->seconds) {
-            bv_byte_account_victim(account, now_us);
+            bv_memory_budget_victim(budget, now_us);
         }
     }
-    const bv_byte_holder_t *victim = bv_byte_account_victim(account, now_us);
+    const bv_byte_holder_t *victim = bv_memory_budget_victim(budget, now_us);
     ck_assert_int_eq(victim != NULL ? (int)(victim - holders) : -1,
                      row->victim);
     for (int i = 0; i < HOLDERS_MAX; i++) {
-        bv_byte_account_leave(account, &holders[i]);
+        bv_memory_budget_leave(budget, &holders[i]);
     }
-    bv_byte_account_release(account, row->charged_bytes);
-    ck_assert_uint_eq(bv_byte_account_used(account), 0);
-    bv_byte_account_destroy(account);
+    bv_memory_budget_release(budget, row->charged_bytes);
+    ck_assert_uint_eq(bv_memory_budget_used(budget), 0);
+    bv_memory_budget_destroy(budget);
 }
 END_TEST
 
@@ -203,35 +203,35 @@
 START_TEST(test_relief)
 {
     const relief_case_t *row = &relief_cases[_i];
-    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_memory_budget_t *budget = create_budget(BOUND_BYTES);
     bv_byte_holder_t holder;
-    bv_byte_account_join(account, &holder, &holder, BV_US_PER_S);
-    bv_byte_account_set(account, &holder, BV_US_PER_S, row->holder_bytes,
-                        true);
-    bv_byte_account_charge(account, row->charged_bytes);
-    ck_assert_int_eq(bv_byte_account_can_relieve(account, row->released_bytes),
+    bv_memory_budget_join(budget, &holder, &holder, BV_US_PER_S);
+    bv_memory_budget_set(budget, &holder, BV_US_PER_S, row->holder_bytes,
+                         true);
+    bv_memory_budget_charge(budget, row->charged_bytes);
+    ck_assert_int_eq(bv_memory_budget_can_relieve(budget, row->released_bytes),
                      row->is_relieved);
-    bv_byte_account_leave(account, &holder);
-    bv_byte_account_destroy(account);
+    bv_memory_budget_leave(budget, &holder);
+    bv_memory_budget_destroy(budget);
 }
 END_TEST
 
 /* A burst at the start does not excuse a holder for long. */
 START_TEST(test_stalled_after_burst)
 {
-    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_memory_budget_t *budget = create_budget(BOUND_BYTES);
     bv_byte_holder_t holder;
     int64_t now_us = BV_US_PER_S;
-    bv_byte_account_join(account, &holder, &holder, now_us);
-    bv_byte_account_set(account, &holder, now_us, 80 * MB, true);
-    bv_byte_account_move(&holder, now_us, 80 * MB);
+    bv_memory_budget_join(budget, &holder, &holder, now_us);
+    bv_memory_budget_set(budget, &holder, now_us, 80 * MB, true);
+    bv_memory_budget_move(&holder, now_us, 80 * MB);
     int seconds = 0;
-    while (bv_byte_account_victim(account, now_us) == NULL) {
+    while (bv_memory_budget_victim(budget, now_us) == NULL) {
         ck_assert_int_lt(++seconds, 10);
         now_us += BV_US_PER_S;
     }
-    bv_byte_account_leave(account, &holder);
-    bv_byte_account_destroy(account);
+    bv_memory_budget_leave(budget, &holder);
+    bv_memory_budget_destroy(budget);
 }
 END_TEST
 
@@ -241,25 +241,25 @@
  */
 START_TEST(test_paused)
 {
-    bv_byte_account_t *account = create_account(BOUND_BYTES);
+    bv_memory_budget_t *budget = create_budget(BOUND_BYTES);
     bv_byte_holder_t holder;
     int64_t now_us = BV_US_PER_S;
-    bv_byte_account_join(account, &holder, &holder, now_us);
-    bv_byte_account_set(account, &holder, now_us, 60 * MB, true);
-    bv_byte_account_set_paused(&holder, now_us, true);
+    bv_memory_budget_join(budget, &holder, &holder, now_us);
+    bv_memory_budget_set(budget, &holder, now_us, 60 * MB, true);
+    bv_memory_budget_set_paused(&holder, now_us, true);
     now_us += 100 * BV_US_PER_S;
-    ck_assert_ptr_null(bv_byte_account_victim(account, now_us));
-    bv_byte_account_charge(account, 50 * MB);
-    ck_assert_ptr_eq(bv_byte_account_victim(account, now_us), &holder);
-    bv_byte_account_release(account, 50 * MB);
+    ck_assert_ptr_null(bv_memory_budget_victim(budget, now_us));
+    bv_memory_budget_charge(budget, 50 * MB);
+    ck_assert_ptr_eq(bv_memory_budget_victim(budget, now_us), &holder);
+    bv_memory_budget_release(budget, 50 * MB);
     /* Its time starts when it is read again. */
-    bv_byte_account_set_paused(&holder, now_us, false);
+    bv_memory_budget_set_paused(&holder, now_us, false);
     now_us += 4 * BV_US_PER_S;
-    ck_assert_ptr_null(bv_byte_account_victim(account, now_us));
+    ck_assert_ptr_null(bv_memory_budget_victim(budget, now_us));
     now_us += 2 * BV_US_PER_S;
-    ck_assert_ptr_eq(bv_byte_account_victim(account, now_us), &holder);
-    bv_byte_account_leave(account, &holder);
-    bv_byte_account_destroy(account);
+    ck_assert_ptr_eq(bv_memory_budget_victim(budget, now_us), &holder);
+    bv_memory_budget_leave(budget, &holder);
+    bv_memory_budget_destroy(budget);
 }
 END_TEST
 
@@ -285,15 +285,15 @@
     const progress_case_t *row = &progress_cases[_i];
     bv_byte_holder_t holder;
     int64_t now_us = BV_US_PER_S;
-    bv_byte_account_join(NULL, &holder, &holder, now_us);
-    bv_byte_account_set(NULL, &holder, now_us, 0, true);
+    bv_memory_budget_join(NULL, &holder, &holder, now_us);
+    bv_memory_budget_set(NULL, &holder, now_us, 0, true);
     for (int i = 0; i < 10; i++) {
         now_us += row->interval_us;
-        bv_byte_account_move(&holder, now_us, row->bytes);
+        bv_memory_budget_move(&holder, now_us, row->bytes);
     }
-    int64_t since_us = bv_byte_account_stalled_since_us(&holder, now_us);
+    int64_t since_us = bv_memory_budget_stalled_since_us(&holder, now_us);
     ck_assert_int_eq(since_us, row->progresses ? now_us : BV_US_PER_S);
-    bv_byte_account_leave(NULL, &holder);
+    bv_memory_budget_leave(NULL, &holder);
 }
 END_TEST
 
@@ -309,7 +309,7 @@
 START_TEST(test_bounds)
 {
     const bound_case_t *row = &bound_cases[_i];
-    ck_assert_uint_eq(bv_byte_account_bound(row->memory_mb * MB),
+    ck_assert_uint_eq(bv_memory_budget_bound(row->memory_mb * MB),
                       row->bound_mb * MB);
 }
 END_TEST
@@ -358,5 +358,5 @@
         {"bounds", test_bounds, G_N_ELEMENTS(bound_cases)},
         {"descriptors", test_descriptors, G_N_ELEMENTS(share_cases)},
         {NULL}};
-    return support_run("byte_account", tests);
+    return support_run("memory_budget", tests);
 }
--- a/tests/test_peer_intake.c
+++ b/tests/test_peer_intake.c
@@ -38,13 +38,13 @@
 START_TEST(test_intake)
 {
     const intake_case_t *row = &cases[_i];
-    bv_byte_account_options_t options = {.bound_bytes = BOUND_BYTES,
-                                         .small_bytes = SMALL_BYTES};
-    bv_byte_account_t *account = bv_byte_account_create(&options);
+    bv_memory_budget_options_t options = {.bound_bytes = BOUND_BYTES,
+                                          .small_bytes = SMALL_BYTES};
+    bv_memory_budget_t *account = bv_memory_budget_create(&options);
     bv_peer_intake_t intake = {0};
     int64_t now_us = BV_US_PER_S;
     int paused = 0;
-    bv_byte_account_charge(account, row->used_bytes);
+    bv_memory_budget_charge(account, row->used_bytes);
     for (int step = 0; step < STEPS; step++) {
         bv_peer_intake_update(&intake, now_us, account, row->queued_bytes);
         size_t bytes = bv_peer_intake_bytes(&intake, SMALL_BYTES);
@@ -57,10 +57,10 @@
     ck_assert_msg(paused == STEPS - turns, "%s: %d", row->name, paused);
     ck_assert_uint_eq(intake.pauses, row->has_pauses);
     /* It ends with the shortage. */
-    bv_byte_account_release(account, row->used_bytes);
+    bv_memory_budget_release(account, row->used_bytes);
     bv_peer_intake_update(&intake, now_us, account, 0);
     ck_assert(bv_peer_intake_bytes(&intake, SMALL_BYTES) == SIZE_MAX);
-    bv_byte_account_destroy(account);
+    bv_memory_budget_destroy(account);
 }
 END_TEST
 
--- a/tests/test_response_memory.c
+++ b/tests/test_response_memory.c
@@ -134,13 +134,13 @@
         receive(&node, &first, row->response_bytes);
     }
     ck_assert(bv_memory_reserve_or_wait(&node, &call));
-    bv_byte_account_charge(node.account, row->held_bytes);
-    uint64_t used_bytes = bv_byte_account_used(node.account);
+    bv_memory_budget_charge(node.memory_budget, row->held_bytes);
+    uint64_t used_bytes = bv_memory_budget_used(node.memory_budget);
     /* The next fence of the attempt reserves nothing more. */
     for (int fence = 0; fence < 2; fence++) {
         ck_assert_msg(bv_memory_reserve_repeat(&node, &call) == row->is_sent,
                       "%s", row->name);
-        ck_assert_uint_eq(bv_byte_account_used(node.account) - used_bytes,
+        ck_assert_uint_eq(bv_memory_budget_used(node.memory_budget) - used_bytes,
                           row->reserved_bytes);
     }
     bv_memory_call_ended(&node, &call, &unknown);
