Sessions: calls with little time left do not hide a silent member

In a trace of two lost instances, nodes still sent them 250 calls a second after members that answer nothing were avoided: silence was counted only while calls were in flight, and anew for each, so that calls of 300 ms never reached the 400 ms at which a member counts as silent.

The time since the first attempt that nothing has followed is now kept apart from the time at which the session is replaced, which is as before. A silent member is asked again each second while no attempt waits for it.

--- a/core/outgoing_sessions.c
+++ b/core/outgoing_sessions.c
@@ -15,7 +15,16 @@
     /* When a progress request was sent; 0 if none is open. */
     int64_t progress_requested_us;
     int64_t replace_after_us;
-    /* Replaced, and nothing has arrived since. */
+    int64_t last_message_us;
+    /*
+     * First attempt, and first progress request, since the last message; 0 if
+     * there was none. Unlike the times above, they outlast a replacement and
+     * attempts that end without a message.
+     */
+    int64_t unanswered_since_us;
+    int64_t first_requested_us;
+    /* When a silent member without unsettled attempts was asked last. */
+    int64_t probed_us;
     bool is_silent;
 } session_t;
 
@@ -77,6 +86,8 @@
     if (session->number == 0 || incarnation > session->incarnation) {
         session->incarnation = incarnation;
         session->replace_after_us = sessions->options.replace_after_us;
+        session->unanswered_since_us = 0;
+        session->first_requested_us = 0;
         session->is_silent = false;
         assign_number(sessions, session, now_us);
     }
@@ -117,6 +128,9 @@
     if (session->unsettled_attempts == 0) {
         session->silent_since_us = now_us;
     }
+    if (session->unanswered_since_us == 0) {
+        session->unanswered_since_us = now_us;
+    }
     session->unsettled_attempts++;
 }
 
@@ -125,8 +139,15 @@
                                      const char *member)
 {
     session_t *session = find_session(sessions, member);
-    if (session != NULL && session->unsettled_attempts > 0) {
-        session->unsettled_attempts--;
+    if (session == NULL || session->unsettled_attempts == 0) {
+        return;
+    }
+    session->unsettled_attempts--;
+    bool is_answered =
+        session->unanswered_since_us <= session->last_message_us &&
+        session->first_requested_us == 0;
+    if (session->unsettled_attempts == 0 && is_answered) {
+        session->unanswered_since_us = 0;
     }
 }
 
@@ -144,6 +165,10 @@
     session->silent_since_us = now_us;
     session->progress_requested_us = 0;
     session->replace_after_us = options->replace_after_us;
+    session->last_message_us = now_us;
+    session->unanswered_since_us =
+        session->unsettled_attempts > 0 ? now_us : 0;
+    session->first_requested_us = 0;
     if (session->is_silent) {
         session->is_silent = false;
         options->regained(options->context, session->member,
@@ -163,16 +188,25 @@
                 int64_t now_us)
 {
     const bv_outgoing_sessions_options_t *options = &sessions->options;
-    int64_t limit_us = session->unsettled_attempts > 0
-                           ? options->replace_limit_us
-                           : options->probe_limit_us;
     assign_number(sessions, session, now_us);
-    session->replace_after_us = MIN(session->replace_after_us * 2, limit_us);
-    session->is_silent = true;
+    session->replace_after_us =
+        MIN(session->replace_after_us * 2, options->replace_limit_us);
     options->replaced(options->context, session->member, session->incarnation,
                       session->number);
 }
 
+static void
+request_progress(const bv_outgoing_sessions_t *sessions, session_t *session,
+                 int64_t now_us)
+{
+    const bv_outgoing_sessions_options_t *options = &sessions->options;
+    if (session->first_requested_us == 0) {
+        session->first_requested_us = now_us;
+    }
+    options->request_progress(options->context, session->member,
+                              session->incarnation, session->number);
+}
+
 static void
 handle_silence(bv_outgoing_sessions_t *sessions, session_t *session,
                int64_t now_us)
@@ -188,8 +222,48 @@
     if (now_us - session->silent_since_us >=
         options->request_progress_after_us) {
         session->progress_requested_us = now_us;
-        options->request_progress(options->context, session->member,
-                                  session->incarnation, session->number);
+        request_progress(sessions, session, now_us);
+    }
+}
+
+/*
+ * Asks a member once if nothing followed an attempt, and takes it for silent
+ * if that is not answered either. Calls with little time left end too early
+ * for handle_silence().
+ */
+static void
+check_silent(const bv_outgoing_sessions_t *sessions, session_t *session,
+             int64_t now_us)
+{
+    const bv_outgoing_sessions_options_t *options = &sessions->options;
+    if (session->is_silent || session->unanswered_since_us == 0) {
+        return;
+    }
+    if (session->first_requested_us == 0) {
+        if (now_us - session->unanswered_since_us >=
+            options->request_progress_after_us) {
+            session->progress_requested_us = now_us;
+            request_progress(sessions, session, now_us);
+        }
+        return;
+    }
+    if (now_us - session->first_requested_us >= options->replace_after_us) {
+        session->is_silent = true;
+        session->probed_us = now_us;
+        options->silent(options->context, session->member,
+                        session->incarnation);
+    }
+}
+
+/* Asks a silent member over a new connection; no attempt is on the old one. */
+static void
+probe_silent(bv_outgoing_sessions_t *sessions, session_t *session,
+             int64_t now_us)
+{
+    if (now_us - session->probed_us >= sessions->options.probe_interval_us) {
+        session->probed_us = now_us;
+        assign_number(sessions, session, now_us);
+        request_progress(sessions, session, now_us);
     }
 }
 
@@ -200,9 +274,13 @@
     GList *values = g_hash_table_get_values(sessions->by_member);
     for (const GList *item = values; item != NULL; item = item->next) {
         session_t *session = item->data;
-        if (session->unsettled_attempts > 0 || session->is_silent) {
+        check_silent(sessions, session, now_us);
+        if (session->unsettled_attempts > 0) {
             handle_silence(sessions, session, now_us);
         }
+        else if (session->is_silent) {
+            probe_silent(sessions, session, now_us);
+        }
         else if (now_us - session->last_used_us >=
                  sessions->options.idle_limit_us) {
             g_hash_table_remove(sessions->by_member, session->member);
--- a/include/berylvane/core/outgoing_sessions.h
+++ b/include/berylvane/core/outgoing_sessions.h
@@ -13,33 +13,37 @@
  * If a connection with unsettled attempts is silent, a progress request is
  * sent over it. If the silence goes on, the session is replaced by a new one.
  * The time until a replacement doubles with each replacement, until a message
- * arrives from the member. From the first replacement until then the member
- * counts as silent, and is asked for its progress whether attempts are
- * unsettled or not, so that its return is noticed without a call.
+ * arrives from the member.
+ *
+ * A member that does not answer a progress request counts as silent until a
+ * message arrives from it. While no attempt is unsettled it is asked again, so
+ * that its return is noticed without a call.
  */
 typedef struct bv_outgoing_sessions bv_outgoing_sessions_t;
 
 typedef struct {
     /* Silence, while attempts are unsettled, before a progress request. */
     int64_t request_progress_after_us;
-    /* Silence after the progress request before the session is replaced. */
+    /*
+     * Silence after the progress request before the session is replaced, and
+     * before the member counts as silent.
+     */
     int64_t replace_after_us;
     /* Upper limit of `replace_after_us` when it doubles. */
     int64_t replace_limit_us;
-    /* The same for a silent member without unsettled attempts. */
-    int64_t probe_limit_us;
+    /* Interval of requests to a silent member without unsettled attempts. */
+    int64_t probe_interval_us;
     /* Time since its last use after which a session without unsettled attempts
      * is removed. */
     int64_t idle_limit_us;
     /* Sends a progress request over the session. */
     void (*request_progress)(void *context, const char *member,
                              uint64_t incarnation, uint64_t session);
-    /*
-     * Called after the member's session was replaced by `session`, as the
-     * member is silent.
-     */
+    /* Called after the member's session was replaced by `session`. */
     void (*replaced)(void *context, const char *member, uint64_t incarnation,
                      uint64_t session);
+    /* Called when a member has not answered a progress request. */
+    void (*silent)(void *context, const char *member, uint64_t incarnation);
     /*
      * Called when a message arrives from a silent member. The callbacks may
      * open sessions, and must not remove any.
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -12,8 +12,8 @@
 #define SESSION_REPLACE_AFTER_US (200 * BV_US_PER_MS)
 /* Limit of SESSION_REPLACE_AFTER_US, which doubles with each replacement. */
 #define SESSION_REPLACE_LIMIT_US (8 * BV_US_PER_S)
-/* The same while no call waits for the member: how late its return is seen. */
-#define SILENT_PROBE_LIMIT_US BV_US_PER_S
+/* How late the return of a silent member is seen that no call waits for. */
+#define SILENT_PROBE_INTERVAL_US BV_US_PER_S
 #define SESSION_IDLE_LIMIT_US (600 * BV_US_PER_S)
 #define SESSIONS_TICK_US (50 * BV_US_PER_MS)
 
@@ -397,50 +397,72 @@
     send_progress_query(context, member, incarnation, session, 0);
 }
 
-/* Hedges the calls that wait for a silent member, and frees the list. */
-static void
-hedge_calls(bv_node_t *node, GPtrArray *calls, const char *member,
-            uint64_t incarnation)
+static bool
+is_attempt_at(const bv_attempt_t *attempt, const char *member,
+              uint64_t incarnation)
 {
-    for (guint i = 0; i < calls->len; i++) {
-        const bv_call_state_t *state = calls->pdata[i];
-        bv_request_member_silent(state->request, node->now_us, member,
-                                 incarnation);
-    }
-    g_ptr_array_unref(calls);
+    return attempt->incarnation == incarnation &&
+           strcmp(attempt->member, member) == 0;
 }
 
 /*
  * Queries, over the new session, the progress of each open attempt that was
- * sent to the member's incarnation, and hedges the calls that wait for these.
+ * sent to the member's incarnation.
  */
 static void
 on_session_replaced(void *context, const char *member, uint64_t incarnation,
                     uint64_t session)
 {
     bv_node_t *node = context;
-    /* Hedges add attempts, which must wait until the table is read. */
-    GPtrArray *calls = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer key;
     gpointer value;
     bv_counter_add(BV_COUNT_PROGRESS_REPLACED, 1);
-    bv_log(BV_LOG_WARN, "peer_silent", "member", member, "session",
-           BV_NUM((gint64)session), NULL);
-    bv_router_set_silent(node->router, member, incarnation, true);
     g_hash_table_iter_init(&iterator, node->attempts);
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         bv_call_state_t *state = value;
-        const bv_attempt_t *attempt =
-            bv_request_find_attempt(state->request, *(uint64_t *)key);
-        if (attempt->incarnation == incarnation &&
-            strcmp(attempt->member, member) == 0) {
-            send_progress_query(node, member, incarnation, session,
-                                attempt->id);
+        uint64_t id = *(uint64_t *)key;
+        if (is_attempt_at(bv_request_find_attempt(state->request, id), member,
+                          incarnation)) {
+            send_progress_query(node, member, incarnation, session, id);
+        }
+    }
+}
+
+/* Returns the calls with an open attempt at the member's incarnation. */
+static GPtrArray *
+find_calls_at(const bv_node_t *node, const char *member, uint64_t incarnation)
+{
+    GPtrArray *calls = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, node->attempts);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        bv_call_state_t *state = value;
+        if (is_attempt_at(
+                bv_request_find_attempt(state->request, *(uint64_t *)key),
+                member, incarnation)) {
             g_ptr_array_add(calls, state);
         }
     }
-    hedge_calls(node, calls, member, incarnation);
+    return calls;
+}
+
+/* Calls go to other members, and those that wait for this one are hedged. */
+static void
+on_member_silent(void *context, const char *member, uint64_t incarnation)
+{
+    bv_node_t *node = context;
+    GPtrArray *calls = find_calls_at(node, member, incarnation);
+    bv_log(BV_LOG_WARN, "peer_silent", "member", member, NULL);
+    bv_router_set_silent(node->router, member, incarnation, true);
+    for (guint i = 0; i < calls->len; i++) {
+        const bv_call_state_t *state = calls->pdata[i];
+        bv_request_member_silent(state->request, node->now_us, member,
+                                 incarnation);
+    }
+    g_ptr_array_unref(calls);
 }
 
 static void
@@ -458,10 +480,11 @@
         .request_progress_after_us = PROGRESS_QUERY_AFTER_US,
         .replace_after_us = SESSION_REPLACE_AFTER_US,
         .replace_limit_us = SESSION_REPLACE_LIMIT_US,
-        .probe_limit_us = SILENT_PROBE_LIMIT_US,
+        .probe_interval_us = SILENT_PROBE_INTERVAL_US,
         .idle_limit_us = SESSION_IDLE_LIMIT_US,
         .request_progress = on_request_progress,
         .replaced = on_session_replaced,
+        .silent = on_member_silent,
         .regained = on_member_regained,
         .context = node,
     };
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -276,6 +276,15 @@
             message.session = session;
             network_send(network, message);
         }
+    }
+}
+
+static void
+on_silent(void *context, const char *member, uint64_t incarnation)
+{
+    const network_t *network = context;
+    for (guint i = 0; i < network->open_records->len; i++) {
+        const record_t *record = network->open_records->pdata[i];
         bv_request_member_silent(record->request, network->now_us, member,
                                  incarnation);
     }
@@ -296,10 +305,11 @@
         .request_progress_after_us = 4000,
         .replace_after_us = 4000,
         .replace_limit_us = 20000,
-        .probe_limit_us = 20000,
+        .probe_interval_us = 20000,
         .idle_limit_us = 100000,
         .request_progress = on_request_progress,
         .replaced = on_session_replaced,
+        .silent = on_silent,
         .regained = on_regained,
         .context = network,
     };
--- a/tests/test_request_silent.c
+++ b/tests/test_request_silent.c
@@ -14,26 +14,26 @@
 
 typedef struct {
     const char *name;
-    bool is_idempotent;
-    uint32_t attempts_limit;
-    /* Whether the first attempt was refused, and the second one is pending. */
-    bool is_rerouted;
-    /* The member that is silent, and its incarnation. */
+    /* The member that is silent, its incarnation, and when. */
     const char *silent;
     uint64_t incarnation;
     int64_t at_us;
+    uint32_t attempts_limit;
     uint32_t hedges;
+    bool is_idempotent;
+    /* Whether the first attempt was refused, and the second one is pending. */
+    bool is_rerouted;
 } request_case_t;
 
 static const request_case_t request_cases[] = {
-    {"idempotent", true, 0, false, "m0", INCARNATION, 400000, 1},
-    {"not idempotent", false, 0, false, "m0", INCARNATION, 400000, 0},
-    {"another member", true, 0, false, "m1", INCARNATION, 400000, 0},
-    {"another incarnation", true, 0, false, "m0", INCARNATION + 1, 400000, 0},
-    {"too late", true, 0, false, "m0", INCARNATION, 650000, 0},
-    {"limit of attempts", true, 1, false, "m0", INCARNATION, 400000, 0},
-    {"no longer waits for it", true, 0, true, "m0", INCARNATION, 400000, 0},
-    {"waits for the second", true, 0, true, "m1", INCARNATION, 400000, 1},
+    {"idempotent", "m0", INCARNATION, 400000, 0, 1, true, false},
+    {"not idempotent", "m0", INCARNATION, 400000, 0, 0, false, false},
+    {"another member", "m1", INCARNATION, 400000, 0, 0, true, false},
+    {"another incarnation", "m0", INCARNATION + 1, 400000, 0, 0, true, false},
+    {"too late", "m0", INCARNATION, 650000, 0, 0, true, false},
+    {"limit of attempts", "m0", INCARNATION, 400000, 1, 0, true, false},
+    {"no longer waits for it", "m0", INCARNATION, 400000, 0, 0, true, true},
+    {"waits for the second", "m1", INCARNATION, 400000, 0, 1, true, true},
 };
 
 typedef struct {
--- a/tests/test_response_memory.c
+++ b/tests/test_response_memory.c
@@ -140,7 +140,8 @@
     for (int fence = 0; fence < 2; fence++) {
         ck_assert_msg(bv_memory_reserve_repeat(&node, &call) == row->is_sent,
                       "%s", row->name);
-        ck_assert_uint_eq(bv_memory_budget_used(node.memory_budget) - used_bytes,
+        ck_assert_uint_eq(bv_memory_budget_used(node.memory_budget) -
+                              used_bytes,
                           row->reserved_bytes);
     }
     bv_memory_call_ended(&node, &call, &unknown);
--- a/tests/test_silent_members.c
+++ b/tests/test_silent_members.c
@@ -80,11 +80,19 @@
 }
 
 static void
-on_replaced(void *context, const char *member, uint64_t incarnation,
-            uint64_t session)
+ignore_replaced(void *context, const char *member, uint64_t incarnation,
+                uint64_t session)
 {
-    const fixture_t *fixture = context;
+    (void)context;
+    (void)member;
+    (void)incarnation;
     (void)session;
+}
+
+static void
+on_silent(void *context, const char *member, uint64_t incarnation)
+{
+    const fixture_t *fixture = context;
     bv_router_set_silent(fixture->router, member, incarnation, true);
 }
 
@@ -192,10 +200,11 @@
         .request_progress_after_us = 200 * MS,
         .replace_after_us = 200 * MS,
         .replace_limit_us = 8 * SECOND_US,
-        .probe_limit_us = SECOND_US,
+        .probe_interval_us = SECOND_US,
         .idle_limit_us = 60 * SECOND_US,
         .request_progress = on_progress_requested,
-        .replaced = on_replaced,
+        .replaced = ignore_replaced,
+        .silent = on_silent,
         .regained = on_regained,
         .context = &fixture,
     };
