Sessions: a member that has left is not asked for its progress

Found in review: a member that left while an attempt without any message was settled counted as silent and was asked each second, over a new connection, for good. Its session is now removed once its attempts are settled, and silent sessions are subject to the idle limit. The test fails before: the member is reported as silent.

--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -23,12 +23,12 @@
 /* Cost of a request while none is known; only ratios of costs matter. */
 #define ASSUMED_COST_US 1000.0
 #define MEAN_COST_WEIGHT 0.01
-/* Work beyond this multiple of the usual rate does not count in the usual
- * rate, which thus grows at most by a factor of e in its time constant. */
+/* Work beyond this multiple of the usual rate, and of the ratio common to all
+ * accounts, does not count in the usual rate. While that ratio is 1, the usual
+ * rate thus grows at most by a factor of e in its time constant. */
 #define GROWTH_RATIO_LIMIT 2
-/* Levels below those of the usual rate, for what is beyond it: they halve the
- * excess LEVELS_PER_DOUBLING times, so that the accounts beyond their rates
- * share what the others leave. */
+/* Lowest levels, for requests beyond the usual rate: LEVELS_PER_DOUBLING for
+ * each doubling of the position. */
 #define EXCESS_LEVELS 4
 #define LEVELS_PER_DOUBLING 1
 #define RATED_LEVELS (BV_PRIORITY_LEVELS - EXCESS_LEVELS)
--- a/core/outgoing_sessions.c
+++ b/core/outgoing_sessions.c
@@ -26,6 +26,8 @@
     /* When a silent member without unsettled attempts was asked last. */
     int64_t probed_us;
     bool is_silent;
+    /* The member has left; removed once no attempt is unsettled. */
+    bool has_left;
 } session_t;
 
 struct bv_outgoing_sessions {
@@ -89,6 +91,7 @@
         session->unanswered_since_us = 0;
         session->first_requested_us = 0;
         session->is_silent = false;
+        session->has_left = false;
         assign_number(sessions, session, now_us);
     }
     session->last_used_us = now_us;
@@ -278,17 +281,27 @@
         if (session->unsettled_attempts > 0) {
             handle_silence(sessions, session, now_us);
         }
+        else if (session->has_left || now_us - session->last_used_us >=
+                                          sessions->options.idle_limit_us) {
+            g_hash_table_remove(sessions->by_member, session->member);
+        }
         else if (session->is_silent) {
             probe_silent(sessions, session, now_us);
         }
-        else if (now_us - session->last_used_us >=
-                 sessions->options.idle_limit_us) {
-            g_hash_table_remove(sessions->by_member, session->member);
-        }
     }
     g_list_free(values);
 }
 
+void
+bv_outgoing_sessions_member_left(bv_outgoing_sessions_t *sessions,
+                                 const char *member, uint64_t incarnation)
+{
+    session_t *session = find_session(sessions, member);
+    if (session != NULL && session->incarnation <= incarnation) {
+        session->has_left = true;
+    }
+}
+
 uint32_t
 bv_outgoing_sessions_count(const bv_outgoing_sessions_t *sessions)
 {
--- a/core/peer_intake.c
+++ b/core/peer_intake.c
@@ -12,12 +12,12 @@
 
 void
 bv_peer_intake_update(bv_peer_intake_t *intake, int64_t now_us,
-                      const bv_memory_budget_t *account, uint64_t queued_bytes)
+                      const bv_memory_budget_t *budget, uint64_t queued_bytes)
 {
-    bv_byte_level_t level = bv_memory_budget_level(account);
+    bv_byte_level_t level = bv_memory_budget_level(budget);
     bool is_relieved_by_waiting =
         level == BV_BYTES_FULL &&
-        bv_memory_budget_can_relieve(account, queued_bytes);
+        bv_memory_budget_can_relieve(budget, queued_bytes);
     intake->is_limited = level != BV_BYTES_NORMAL;
     if (!is_relieved_by_waiting) {
         intake->is_paused = false;
--- a/core/quota_holder_internal.h
+++ b/core/quota_holder_internal.h
@@ -47,7 +47,7 @@
     /* The lessor does not answer; it is probed from `probe_due_us` on. */
     bool is_silent;
     int64_t probe_due_us;
-    /* Time from which a silent lessor lends, as it stated; 0 if unknown. */
+    /* Time from which a silent lessor lends, as it stated; past if unknown. */
     int64_t lends_from_us;
     int64_t refused_until_us;
     int64_t refused_retry_us;
@@ -56,7 +56,7 @@
 /* A call that waits for a permit. */
 typedef struct {
     uint64_t call;
-    /* Parts that have refused a permit for the call. */
+    /* Refusals; the call is refused at BV_QUOTA_PARTS. */
     uint32_t refusals;
 } waiter_t;
 
--- a/core/request.c
+++ b/core/request.c
@@ -266,9 +266,9 @@
     }
 }
 
-static bool
-is_attempt_at(const bv_attempt_t *attempt, const char *member,
-              uint64_t incarnation)
+bool
+bv_attempt_is_at(const bv_attempt_t *attempt, const char *member,
+                 uint64_t incarnation)
 {
     return attempt->incarnation == incarnation &&
            strcmp(attempt->member, member) == 0;
@@ -285,7 +285,7 @@
         if (attempt->state != BV_ATTEMPT_PENDING) {
             continue;
         }
-        if (!is_attempt_at(attempt, member, incarnation)) {
+        if (!bv_attempt_is_at(attempt, member, incarnation)) {
             return false;
         }
         pending++;
--- a/include/berylvane/caller/listener.h
+++ b/include/berylvane/caller/listener.h
@@ -134,7 +134,7 @@
 
 /*
  * Returns what the budget of a listener with a thread held after its latest
- * events; 0 without an budget. For any thread.
+ * events; 0 without a budget. For any thread.
  */
 size_t bv_listener_held_bytes(const bv_listener_t *listener);
 
--- a/include/berylvane/common/reasons.h
+++ b/include/berylvane/common/reasons.h
@@ -9,7 +9,8 @@
  *
  * A node of an earlier version rejects a peer message whose reason it does not
  * know. MODE therefore appears in the decisions of a node only, never in an
- * answer: it says why a retry or hedge was not made.
+ * answer: it says why a retry or hedge was not made. DESCRIPTORS is sent as
+ * QUEUE_FULL.
  */
 #define BV_REASON_LIST(X)                                                     \
     X(NONE, "none")                                                           \
--- a/include/berylvane/common/shutdown.h
+++ b/include/berylvane/common/shutdown.h
@@ -47,8 +47,8 @@
 void bv_shutdown_start(apr_pool_t *pool);
 
 /*
- * Marks the begin of a wait, which ends the one before. The waits are begun in
- * the order of their numbers; the last one ends with the process.
+ * Marks the start of a wait, which ends the one before. Waits start in the
+ * order of their numbers; the last one ends with the process.
  */
 void bv_shutdown_begin(bv_shutdown_wait_t wait);
 
--- a/include/berylvane/core/fair_share.h
+++ b/include/berylvane/core/fair_share.h
@@ -10,9 +10,10 @@
  * rate, as in core-stateless fair queueing (Stoica, Shenker and Zhang, SIGCOMM
  * 1998). An overloaded target refuses by level and keeps no state of accounts.
  * The position is uniform in [0, r), where r is the account's recent rate
- * relative to its usual rate: all accounts lose the same share while they send
- * at their usual rates, and what one sends beyond its usual rate is refused
- * first. Rates are in slot time: requests are weighted by their cost.
+ * relative to its usual rate and to the ratio common to the accounts: all
+ * accounts lose the same share while they send at their usual rates, and what
+ * one sends beyond its usual rate is refused first. Rates are in slot time:
+ * requests are weighted by their cost.
  *
  * Not thread-safe.
  */
--- a/include/berylvane/core/outgoing_sessions.h
+++ b/include/berylvane/core/outgoing_sessions.h
@@ -89,7 +89,15 @@
                                            int64_t now_us, const char *member,
                                            uint64_t number);
 
-/* Removes the session of a member that has left the cluster. */
+/*
+ * Removes the session of a member that has left, once its attempts are
+ * settled: it would be taken for silent and asked again and again.
+ */
+void bv_outgoing_sessions_member_left(bv_outgoing_sessions_t *sessions,
+                                      const char *member,
+                                      uint64_t incarnation);
+
+/* Removes the session of a member that is dead. */
 void bv_outgoing_sessions_remove(bv_outgoing_sessions_t *sessions,
                                  const char *member);
 
--- a/include/berylvane/core/peer_intake.h
+++ b/include/berylvane/core/peer_intake.h
@@ -31,7 +31,7 @@
  * that waits to be sent to peers.
  */
 void bv_peer_intake_update(bv_peer_intake_t *intake, int64_t now_us,
-                           const bv_memory_budget_t *account,
+                           const bv_memory_budget_t *budget,
                            uint64_t queued_bytes);
 
 /*
--- a/include/berylvane/core/quota.h
+++ b/include/berylvane/core/quota.h
@@ -80,7 +80,7 @@
      */
     int64_t wait_us;
     /*
-     * Time after which a refused caller should return; of a node that is not
+     * Time after which a refused caller should return; from a node that is not
      * the lessor, the time until it may lend, 0 if it is not known.
      */
     int64_t retry_us;
--- a/include/berylvane/core/quota_lessor.h
+++ b/include/berylvane/core/quota_lessor.h
@@ -7,13 +7,14 @@
  * quota_lessor - token buckets from which a node lends permits
  *
  * Handles an account that sends more than its limit through any number of
- * nodes. Each part of its quota has a bucket for an equal share of what
- * follows. Two limits hold. In any window, no more is lent than the quota of a
- * window and a quarter of the allowed overage. A token bucket spreads this
- * over the window; it gains the quota of a window in a window. It starts
- * empty, so that the permits of successive lessors stay within the bounds as
- * well. Its capacity is the burst and a quarter of the allowed overage, so
- * that accounts that use little are not refused below their quota.
+ * nodes. Each part of its quota has a bucket of its own; the limits below are
+ * divided equally among the parts. Two hold. In any window, no more is lent
+ * than the quota of a window and a quarter of the allowed overage. A token
+ * bucket spreads this over the window; it gains the quota of a window in a
+ * window. It starts empty, so that the permits of successive lessors stay
+ * within the bounds as well. Its capacity is the burst and a quarter of the
+ * allowed overage, so that accounts that use little are not refused below
+ * their quota.
  */
 typedef struct {
     const char *account;
--- a/include/berylvane/core/request.h
+++ b/include/berylvane/core/request.h
@@ -171,6 +171,10 @@
 uint32_t bv_request_attempts(const bv_request_t *request,
                              const bv_attempt_t **attempts);
 
+/* Whether the attempt was sent to this incarnation of the member. */
+bool bv_attempt_is_at(const bv_attempt_t *attempt, const char *member,
+                      uint64_t incarnation);
+
 /* Returns the number of attempts made so far. */
 uint32_t bv_request_attempt_count(const bv_request_t *request);
 
--- a/include/berylvane/core/route_cost.h
+++ b/include/berylvane/core/route_cost.h
@@ -17,7 +17,8 @@
 
 /*
  * Records an answer of a request that has run. `latency_us` is its total
- * latency, of which `wait_us` was spent in queues.
+ * latency; `wait_us` is the queueing delay that the answer reports for new
+ * work, an estimate of this request's own.
  */
 void bv_route_costs_record(bv_route_costs_t *costs, uint32_t route_hash,
                            int64_t latency_us, int64_t wait_us);
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -242,7 +242,7 @@
 /* Requests in the same way that the settings file be read again. */
 void bv_node_request_reload(bv_node_t *node);
 
-/* Runs what was requested. */
+/* Starts the drain and reloads the settings if they were requested. */
 void bv_node_run_requests(bv_node_t *node);
 
 /*
--- a/node/attempts.c
+++ b/node/attempts.c
@@ -397,14 +397,6 @@
     send_progress_query(context, member, incarnation, session, 0);
 }
 
-static bool
-is_attempt_at(const bv_attempt_t *attempt, const char *member,
-              uint64_t incarnation)
-{
-    return attempt->incarnation == incarnation &&
-           strcmp(attempt->member, member) == 0;
-}
-
 /*
  * Queries, over the new session, the progress of each open attempt that was
  * sent to the member's incarnation.
@@ -422,8 +414,8 @@
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         bv_call_state_t *state = value;
         uint64_t id = *(uint64_t *)key;
-        if (is_attempt_at(bv_request_find_attempt(state->request, id), member,
-                          incarnation)) {
+        if (bv_attempt_is_at(bv_request_find_attempt(state->request, id),
+                             member, incarnation)) {
             send_progress_query(node, member, incarnation, session, id);
         }
     }
@@ -440,7 +432,7 @@
     g_hash_table_iter_init(&iterator, node->attempts);
     while (g_hash_table_iter_next(&iterator, &key, &value)) {
         bv_call_state_t *state = value;
-        if (is_attempt_at(
+        if (bv_attempt_is_at(
                 bv_request_find_attempt(state->request, *(uint64_t *)key),
                 member, incarnation)) {
             g_ptr_array_add(calls, state);
@@ -458,9 +450,10 @@
     bv_log(BV_LOG_WARN, "peer_silent", "member", member, NULL);
     bv_router_set_silent(node->router, member, incarnation, true);
     for (guint i = 0; i < calls->len; i++) {
-        const bv_call_state_t *state = calls->pdata[i];
+        bv_call_state_t *state = calls->pdata[i];
         bv_request_member_silent(state->request, node->now_us, member,
                                  incarnation);
+        bv_calls_reschedule(node, state);
     }
     g_ptr_array_unref(calls);
 }
--- a/node/calls.c
+++ b/node/calls.c
@@ -484,6 +484,10 @@
     if (is_dead) {
         bv_outgoing_sessions_remove(node->outgoing_sessions, member->name);
     }
+    else if (member->state == BV_MEMBER_LEFT) {
+        bv_outgoing_sessions_member_left(node->outgoing_sessions, member->name,
+                                         member->incarnation);
+    }
 }
 
 void
--- a/targets/client.c
+++ b/targets/client.c
@@ -101,7 +101,9 @@
     return *takes_turn;
 }
 
-/* An answer that has arrived is read at its deadline, see expire_requests().
+/*
+ * Whether more of a response may be read now. After its deadline it is always
+ * read, see expire_requests().
  */
 static bool
 may_read(void *context, const bv_target_connection_t *connection)
--- a/tests/test_silent_members.c
+++ b/tests/test_silent_members.c
@@ -230,11 +230,64 @@
 }
 END_TEST
 
+static void
+count_event(void *context, const char *member, uint64_t incarnation)
+{
+    uint32_t *events = context;
+    (void)member;
+    (void)incarnation;
+    ++*events;
+}
+
+static void
+count_session_event(void *context, const char *member, uint64_t incarnation,
+                    uint64_t session)
+{
+    (void)session;
+    count_event(context, member, incarnation);
+}
+
+/*
+ * Guards against a member that left, with an attempt that nothing followed,
+ * and is taken for silent and asked for its progress for good.
+ */
+START_TEST(test_member_left)
+{
+    uint32_t events = 0;
+    bv_outgoing_sessions_options_t options = {
+        .request_progress_after_us = 200 * MS,
+        .replace_after_us = 200 * MS,
+        .replace_limit_us = 8 * SECOND_US,
+        .probe_interval_us = SECOND_US,
+        .idle_limit_us = 60 * SECOND_US,
+        .request_progress = count_session_event,
+        .replaced = count_session_event,
+        .silent = count_event,
+        .regained = count_event,
+        .context = &events,
+    };
+    bv_outgoing_sessions_t *sessions = bv_outgoing_sessions_create(&options);
+    bv_outgoing_sessions_current(sessions, 0, "m", 1);
+    bv_outgoing_sessions_attempt_sent(sessions, 0, "m");
+    bv_outgoing_sessions_member_left(sessions, "m", 1);
+    bv_outgoing_sessions_tick(sessions, 50 * MS);
+    ck_assert_uint_eq(bv_outgoing_sessions_count(sessions), 1);
+    bv_outgoing_sessions_attempt_settled(sessions, "m");
+    for (int64_t now_us = 100 * MS; now_us < SECOND_US; now_us += 50 * MS) {
+        bv_outgoing_sessions_tick(sessions, now_us);
+    }
+    ck_assert_uint_eq(bv_outgoing_sessions_count(sessions), 0);
+    ck_assert_uint_eq(events, 0);
+    bv_outgoing_sessions_destroy(sessions);
+}
+END_TEST
+
 int
 main(void)
 {
     const support_test_t tests[] = {
         {"silent_members", test_silent_members, G_N_ELEMENTS(silent_cases)},
+        {"member_left", test_member_left, 1},
         {NULL}};
     return support_run("silent_members", tests);
 }
