--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -134,12 +134,12 @@
                 stdout=log, stderr=log,
                 env={"PATH": os.environ["PATH"], "BERYLVANE_BOOT": path})
 
-    def start_endpoint(self, work_ms):
+    def start_endpoint(self, work_ms, **further):
         options = {"id": self.server_id, "service": self.service,
                    "zone": self.zone, "address": self.app,
                    "control": self.heartbeats_to, "slots": 42,
                    "work_ms": work_ms,
-                   "record": self.deployment.server_record}
+                   "record": self.deployment.server_record, **further}
         self.endpoint = subprocess.Popen(
             [sys.executable, os.path.join(HERE, "endpoint.py"),
              json.dumps(options)], stdin=subprocess.PIPE, text=True)
--- a/review/lib2/endpoint.py
+++ b/review/lib2/endpoint.py
@@ -3,6 +3,10 @@
 Arguments: JSON with id, service, zone, address, control, slots, work_ms,
 record. Commands on standard input, one a line: `deregister`.
 
+With `spoil_every` N, each Nth answer is spoiled: a byte of its status line is
+lost, which makes "HTTP/1.1 200 OK" "HTTP/1.1 20 OK" (PROTOCOL.md: "send bytes
+that are not a response").
+
 A request whose path has "/early/" is answered before its body is read, with
 an answer that has no length and ends with its connection. PROTOCOL.md and
 RULES.md name both.
@@ -22,7 +26,8 @@
 
 options = json.loads(sys.argv[1])
 born_ms = int(time.time() * 1000)
-state = {"sequence": 0, "has_left": False}
+state = {"sequence": 0, "has_left": False, "answers": 0}
+answers_lock = threading.Lock()
 slots = threading.Semaphore(options["slots"])
 record_fd = os.open(options["record"],
                     os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
@@ -126,6 +131,17 @@
     record("ended", request=request, body_left=left)
 
 
+def status_of_answer(request):
+    """Returns the status of a whole answer, or what is left of it."""
+    spoil_every = options.get("spoil_every", 0)
+    with answers_lock:
+        state["answers"] += 1
+        is_spoiled = spoil_every > 0 and state["answers"] % spoil_every == 0
+    if is_spoiled:
+        record("spoiled", request=request)
+    return "20 OK" if is_spoiled else "200 OK"
+
+
 def serve_request(sock, start, fields, rest):
     """Returns the bytes after the request; None ends the connection."""
     request = fields.get("request-id", "")
@@ -149,7 +165,7 @@
             rest += piece
         time.sleep(options["work_ms"] / 1000)
         body = f"done {request} by {options['id']}".encode()
-        answer(sock, request, "200 OK",
+        answer(sock, request, status_of_answer(request),
                [f"Response-Signature: {signature(body)}"], body)
         record("ended", request=request)
     return rest[length:]
