Review: case 9, a burst is lent twice around a planned stop

Cause: a part of a quota that goes to another lessor starts with a new bucket and a new count of the window, and gains the burst again.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -112,7 +112,7 @@
                        "Control": "%s:%d" % self.control},
             "InternalPorts": [ports + 5, ports + 7], "Seeds": [],
             "Limits": {"MemoryMb": 260, "MaxFds": 4100},
-            "Bounds": dict(b.split("=") for b in BOUNDS),
+            "Bounds": dict(b.split("=") for b in self.deployment.bounds),
             "AppAddr": "%s:%d" % self.app, "Service": self.service,
             "Platform": {"Address": "%s:%d" % self.deployment.store_address},
         }
@@ -150,7 +150,7 @@
 
 
 class Deployment:
-    def __init__(self, record_path):
+    def __init__(self, record_path, bounds=None):
         if not os.access(NODE, os.X_OK):
             raise CannotRun("no " + NODE)
         self.folder = tempfile.mkdtemp(prefix="berylvane-review-")
@@ -160,6 +160,7 @@
         self.first_port = free_ports(8)
         self.store_address = ("127.0.7.250", self.first_port)
         self.table = store.start(self.store_address)
+        self.bounds = bounds or BOUNDS
         self.machines = []
 
     def record(self, what, **fields):
@@ -225,15 +226,16 @@
         return False
 
 
-def config(version, services, paths):
-    return {
+def config(version, services, paths, tenants=None):
+    limits = {"Tenants": tenants} if tenants is not None else {}
+    return dict(limits, **{
         "Version": version,
         "Services": [{"Name": name, "HealthPath": "/health",
                       "MaxConnections": 352, "Protocol": "h1", "Tls": False}
                      for name in services],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864,
                    "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-        "VirtualHosts": [{"Hostname": "shop.example", "Paths": paths}]}
+        "VirtualHosts": [{"Hostname": "shop.example", "Paths": paths}]})
 
 
 def path(name, kind, service, timeout_ms=6000):
@@ -250,11 +252,14 @@
         self.is_whole = is_whole
 
 
-def request(machine, method, path_text, request_id, deadline_ms, body=b""):
+def request(machine, method, path_text, request_id, deadline_ms, body=b"",
+            key=None):
     """Sends a request on a new connection, and reads its answer."""
     head = (f"{method} {path_text} HTTP/1.1\r\nHost: shop.example\r\n"
             f"Request-Id: {request_id}\r\n"
             f"Request-Deadline: {deadline_ms}\r\n")
+    if key is not None:
+        head += f"Authorization: Bearer {key}\r\n"
     if method != "GET":
         head += f"Content-Length: {len(body)}\r\n"
     data = b""
@@ -289,11 +294,11 @@
     return Reply(int(lines[0].split()[1]), fields, body, is_whole)
 
 
-def run(case, record_path):
+def run(case, record_path, bounds=None):
     """Runs `case` with a deployment; exits with 0, 1 or 2."""
     deployment = None
     try:
-        deployment = Deployment(record_path)
+        deployment = Deployment(record_path, bounds)
         has_held = case(deployment, os.environ.get("TROUBLE", "1") != "0")
         status = 0 if has_held else 1
     except (CannotRun, OSError) as error:
