--- a/review/lib2/endpoint.py
+++ b/review/lib2/endpoint.py
@@ -186,6 +186,8 @@
 
 def main():
     listener = socket.create_server(tuple(options["address"]), backlog=128)
+    # Small windows, as DEPLOY.md states for links.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
     threading.Thread(target=send_heartbeats, daemon=True).start()
     threading.Thread(target=read_commands, daemon=True).start()
     while True:
