Departures: what a node acknowledged binds it after a restart

Cause: departures and drains lived in the memory of the node's process. The node acknowledged one, was killed and started again; a heartbeat that had been under way for 4 s arrived, was the first that the new process heard, and the target was used until it had been silent for 10 s.

Change: a node writes each departure to a row of the store and spreads it with its record to the members, which send the record of an earlier incarnation back to a node that has restarted. The acknowledgement waits until both have it, 600 ms at most; with neither, the answer is 503, since the promise would end with the process. A node that starts asks both, and uses a target that started before it only when both have answered, or after a second. What it learns later takes the target out. A target with a later start is used at once. Why both, and what was not chosen: docs/design/departures.md.

--- a/core/membership.c
+++ b/core/membership.c
@@ -123,6 +123,32 @@
     membership->is_refutation_due = true;
 }
 
+/* Packets in which a member is sent its departures, as one may be lost. */
+#define DEPARTURE_REPORTS 4
+
+/*
+ * Keeps the departures of an incarnation that has ended until the member has
+ * learned them. A record that is full of departures has no room for more.
+ */
+static void
+keep_departures(entry_t *entry, const bv_member_t *record)
+{
+    bv_departures_t *earlier = &entry->earlier_departures;
+    const bv_departures_t *known = &entry->member.departures;
+    bool has_restarted = record->incarnation != entry->member.incarnation;
+    if (has_restarted) {
+        bv_departures_merge(earlier, known);
+    }
+    if (has_restarted || !bv_departures_include(known, &record->departures)) {
+        entry->reports_left = DEPARTURE_REPORTS;
+    }
+    bool is_full =
+        bv_departures_count(&record->departures) == BV_DEPARTURES_KEPT;
+    if (is_full || bv_departures_include(&record->departures, earlier)) {
+        memset(earlier, 0, sizeof(*earlier));
+    }
+}
+
 static void
 replace_record(bv_membership_t *membership, int64_t now_us, entry_t *entry,
                const bv_member_t *record, bool is_update)
@@ -134,6 +160,7 @@
                  "left_stays_left", entry->member.name);
     bv_invariant(record->incarnation >= entry->member.incarnation,
                  "incarnation_moves_forward", entry->member.name);
+    keep_departures(entry, record);
     entry->member = *record;
     if (!restarted) {
         entry->member.generation = MAX(generation, record->generation);
@@ -172,7 +199,11 @@
                         const bv_member_t *record, bool is_update)
 {
     if (strcmp(record->name, membership->self.member.name) == 0) {
+        const bv_membership_options_t *options = &membership->options;
         refute_record(membership, record);
+        if (options->ops->self_reported != NULL) {
+            options->ops->self_reported(options->context, record);
+        }
         return;
     }
     entry_t *entry = g_hash_table_lookup(membership->entries, record->name);
@@ -183,6 +214,10 @@
     bv_member_t *member = &entry->member;
     if (record->incarnation == member->incarnation) {
         member->generation = MAX(member->generation, record->generation);
+        /* A row of the store has the same version, but no departures. */
+        if (record->version == member->version) {
+            bv_departures_merge(&member->departures, &record->departures);
+        }
     }
     if (!bv_member_is_newer(record, member)) {
         return;
@@ -265,6 +300,13 @@
     options->ops->config_reported(options->context, packet->generation,
                                   packet->config_digest, from->name);
     membership_handle_probe_packet(membership, entry, packet);
+    /* An answer is not answered, so the departures need a packet of their own.
+     */
+    if (packet->kind == BV_GOSSIP_ACK && entry->reports_left > 0 &&
+        bv_departures_count(&entry->earlier_departures) > 0) {
+        membership_send(membership, &entry->member, BV_GOSSIP_PING,
+                        ++membership->sequence, NULL);
+    }
     if (has_different_bucket(membership, packet) &&
         membership_send_bucket(membership, now_us, from, packet->bucket)) {
         return BV_GOSSIP_SYNCED;
@@ -301,6 +343,15 @@
     membership_ping_many(membership);
 }
 
+void
+bv_membership_set_self_departures(bv_membership_t *membership,
+                                  const bv_departures_t *departures)
+{
+    membership->self.member.departures = *departures;
+    membership_advance_self_version(membership);
+    membership_ping_many(membership);
+}
+
 void
 bv_membership_ping_address(bv_membership_t *membership, const char *address,
                            uint16_t gossip_port)
--- a/core/membership_internal.h
+++ b/core/membership_internal.h
@@ -50,6 +50,13 @@
     bool was_warned;
     /* 0 unless the member is dead or has left. */
     int64_t gone_since_us;
+    /*
+     * Departures that earlier incarnations reported, until the member's own
+     * record includes them.
+     */
+    bv_departures_t earlier_departures;
+    /* Packets in which the member is still to be sent its departures. */
+    uint32_t reports_left;
     replay_window_t replay_window;
 } entry_t;
 
--- a/core/membership_spread.c
+++ b/core/membership_spread.c
@@ -98,10 +98,26 @@
     return number <= UINT16_MAX ? 3 : number <= UINT32_MAX ? 5 : 9;
 }
 
+static size_t
+departures_bytes(const bv_departures_t *departures)
+{
+    size_t size = 0;
+    for (uint32_t i = 0; i < bv_departures_count(departures); i++) {
+        const bv_departure_t *departure = &departures->items[i];
+        size += number_bytes(departure->instance_digest) +
+                number_bytes(departure->start_ms) +
+                number_bytes(departure->sequence);
+    }
+    return size;
+}
+
 static size_t
 record_bytes(const bv_member_t *member)
 {
-    return 1 + text_bytes(member->name) + text_bytes(member->service) +
+    /* An array with more than 15 elements has a longer header. */
+    size_t header_bytes = bv_departures_count(&member->departures) > 1 ? 3 : 1;
+    return header_bytes + departures_bytes(&member->departures) +
+           text_bytes(member->name) + text_bytes(member->service) +
            text_bytes(member->data_centre) + text_bytes(member->region) +
            text_bytes(member->address) + number_bytes(member->peer_port) +
            number_bytes(member->gossip_port) +
@@ -138,30 +154,50 @@
                BV_GOSSIP_BYTES;
 }
 
+/* Adds `record` as the record of the entry. */
 static void
-add_record(const bv_membership_t *membership, bv_gossip_packet_t *packet,
-           entry_t *entry)
+add_record_as(const bv_membership_t *membership, bv_gossip_packet_t *packet,
+              entry_t *entry, const bv_member_t *record)
 {
-    if (!has_room(membership, packet, &entry->member) ||
-        holds_record(packet, &entry->member)) {
+    if (!has_room(membership, packet, record) ||
+        holds_record(packet, record)) {
         return;
     }
-    packet->records[packet->record_count] = entry->member;
+    packet->records[packet->record_count] = *record;
     packet->record_count++;
     if (entry->sends_left > 0) {
         entry->sends_left--;
     }
 }
 
-/* Adds the receiver's own record first if the receiver must refute it. */
+static void
+add_record(const bv_membership_t *membership, bv_gossip_packet_t *packet,
+           entry_t *entry)
+{
+    add_record_as(membership, packet, entry, &entry->member);
+}
+
+/*
+ * Adds the receiver's own record first if the receiver must refute it, or is
+ * to learn which departures of its target are known here.
+ */
 static void
 add_receiver_record(const bv_membership_t *membership, const bv_member_t *to,
                     bv_gossip_packet_t *packet)
 {
     entry_t *entry = g_hash_table_lookup(membership->entries, to->name);
-    if (entry != NULL && (entry->member.state == BV_MEMBER_SUSPECT ||
-                          entry->member.state == BV_MEMBER_DEAD)) {
-        add_record(membership, packet, entry);
+    if (entry == NULL) {
+        return;
+    }
+    bv_member_t record = entry->member;
+    bv_departures_merge(&record.departures, &entry->earlier_departures);
+    bool must_refute =
+        record.state == BV_MEMBER_SUSPECT || record.state == BV_MEMBER_DEAD;
+    bool reports_departures =
+        entry->reports_left > 0 && bv_departures_count(&record.departures) > 0;
+    if (must_refute || reports_departures) {
+        add_record_as(membership, packet, entry, &record);
+        entry->reports_left -= reports_departures;
     }
 }
 
--- a/include/berylvane/core/membership.h
+++ b/include/berylvane/core/membership.h
@@ -1,7 +1,7 @@
 #ifndef BERYLVANE_CORE_MEMBERSHIP_H
 #define BERYLVANE_CORE_MEMBERSHIP_H
 
-#include "berylvane/core/types.h"
+#include "berylvane/core/departure.h"
 
 /*
  * membership - group membership by probes and gossip (SWIM)
@@ -15,6 +15,11 @@
  * Updates that a node missed arrive by anti-entropy: each packet carries the
  * digest of one bucket of the sender's table, and where the digests differ
  * both nodes send the records of that bucket.
+ *
+ * Members keep the departures of a node's target for it. After a change of
+ * them, and after a restart of the node, they send the node its record, with
+ * the departures that earlier incarnations reported. So a node learns that
+ * members have its departures, and learns them again after a restart.
  */
 typedef enum {
     BV_MEMBER_ALIVE,
@@ -40,6 +45,8 @@
     bv_member_state_t state;
     /* Highest generation reported in force; grows within an incarnation. */
     uint64_t generation;
+    /* The latest departures of the member's target. */
+    bv_departures_t departures;
 } bv_member_t;
 
 typedef enum {
@@ -93,6 +100,11 @@
     /* `member` reported the version of the configuration in force on it. */
     void (*config_reported)(void *context, uint64_t generation,
                             uint64_t digest, const char *member);
+    /*
+     * A member sent what it knows of this node, in the record of this or of an
+     * earlier incarnation. May be NULL.
+     */
+    void (*self_reported)(void *context, const bv_member_t *record);
 } bv_membership_ops_t;
 
 typedef struct {
@@ -157,6 +169,8 @@
                                   bv_member_state_t state);
 void bv_membership_set_self_target(bv_membership_t *membership,
                                    const char *service, uint32_t slots);
+void bv_membership_set_self_departures(bv_membership_t *membership,
+                                       const bv_departures_t *departures);
 void bv_membership_set_self_config(bv_membership_t *membership,
                                    uint64_t generation, uint64_t digest);
 
--- a/include/berylvane/node/node.h
+++ b/include/berylvane/node/node.h
@@ -57,6 +57,9 @@
 /* Demand of the accounts that call here; see node/fair_shares.h. */
 typedef struct bv_fair_shares bv_fair_shares_t;
 
+/* Where the target's departures are kept; see node/departures.h. */
+typedef struct bv_departure_keeper bv_departure_keeper_t;
+
 /* Memory of the node; see node/memory.h. */
 typedef struct bv_memory bv_memory_t;
 
@@ -190,6 +193,7 @@
     bv_backpressure_table_t *downstream_backpressure;
     bv_membership_t *membership;
     bv_local_target_t target;
+    bv_departure_keeper_t *departures;
     bv_journal_t *journal;
     bv_log_budget_t log_budget;
     int64_t suppressed_log_due_us;
@@ -399,10 +403,20 @@
 
 void bv_target_create(bv_node_t *node);
 
-/* Applies an announcement and replies to `call`, which frees `call`. */
+/*
+ * Applies an announcement and replies to `call`, which frees `call`. The
+ * acknowledgement of a departure waits until the departure is kept; see
+ * node/departures.h.
+ */
 void bv_target_handle_announcement(bv_node_t *node, bv_call_t *call);
 bool bv_target_is_usable(const bv_node_t *node);
 
+/* Applies a departure that was announced to an earlier process. */
+void bv_target_recall(bv_node_t *node, const bv_departure_t *departure);
+
+/* Lets the target be used: see bv_local_target_end_recall(). */
+void bv_target_end_recall(bv_node_t *node);
+
 /*
  * Marks the target as unreachable after a failed connection. It is sent no
  * work until its next announcement.
--- a/node/members.c
+++ b/node/members.c
@@ -2,6 +2,7 @@
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
 #include "berylvane/node/configs.h"
+#include "berylvane/node/departures.h"
 #include "berylvane/node/node.h"
 #include "berylvane/node/quotas.h"
 
@@ -39,6 +40,9 @@
     if (verdict == BV_GOSSIP_SYNCED) {
         bv_counter_add(BV_COUNT_GOSSIP_SYNCS, 1);
     }
+    if (verdict != BV_GOSSIP_REPLAYED) {
+        bv_departures_handle_packet(node, received->packet->kind);
+    }
     g_free(received->packet);
     g_free(received);
 }
@@ -116,10 +120,17 @@
     bv_configs_handle_version(context, &version, member);
 }
 
+static void
+self_reported(void *context, const bv_member_t *record)
+{
+    bv_departures_handle_report(context, record);
+}
+
 static const bv_membership_ops_t membership_ops = {
     .send = send_gossip,
     .member_changed = member_changed,
     .config_reported = config_reported,
+    .self_reported = self_reported,
 };
 
 static void
@@ -182,6 +193,7 @@
     bv_target_check_silence(node);
     bv_membership_tick(node->membership, node->now_us);
     bv_rendezvous_tick(node);
+    bv_departures_tick(node);
 }
 
 void
--- a/node/node.c
+++ b/node/node.c
@@ -7,6 +7,7 @@
 #include "berylvane/common/shutdown.h"
 #include "berylvane/node/access.h"
 #include "berylvane/node/call.h"
+#include "berylvane/node/departures.h"
 #include "berylvane/node/fair_shares.h"
 #include "berylvane/node/memory.h"
 #include "berylvane/node/quotas.h"
@@ -75,6 +76,7 @@
     bv_counter_add(BV_COUNT_STORE_RESTORES, 1);
     bv_log(BV_LOG_WARN, "store_restored", "era", BV_NUM(*era), NULL);
     bv_rendezvous_renew(node);
+    bv_departures_handle_restore(node);
     bv_config_watch_restart(&node->config_watch, node->now_us);
     bv_keyed_handle_restore(node);
     g_free(era);
@@ -316,6 +318,7 @@
     }
     start_clients(node);
     bv_rendezvous_create(node);
+    bv_departures_create(node);
     bv_configs_create(node);
     bv_loop_create(node);
     if (!start_listeners(node, error)) {
@@ -375,6 +378,7 @@
     bv_backpressure_table_destroy(node->called_backpressure);
     bv_backpressure_table_destroy(node->downstream_backpressure);
     bv_admission_destroy(node->admission);
+    bv_departures_destroy(node);
     bv_fair_shares_destroy(node);
     bv_quotas_destroy(node);
     bv_keyed_destroy(node);
@@ -423,6 +427,7 @@
         }
     }
     bv_operator_listener_close(node->operator_listener);
+    bv_departures_close(node);
     do {
         bv_calls_answer_unknown(node);
         bv_loop_run_once(node, CLOSE_WAIT_US);
--- a/node/target.c
+++ b/node/target.c
@@ -1,6 +1,7 @@
 #include "berylvane/common/clock.h"
 #include "berylvane/common/counters.h"
 #include "berylvane/common/log.h"
+#include "berylvane/node/departures.h"
 #include "berylvane/node/node.h"
 
 #include <string.h>
@@ -14,6 +15,7 @@
     bv_local_target_options_t options = {
         .service = node->settings->service,
         .silence_us = ANNOUNCEMENT_TIMEOUT_US,
+        .node_start_ms = node->incarnation / BV_US_PER_MS,
     };
     bv_local_target_init(&node->target, &options);
 }
@@ -82,6 +84,22 @@
     bv_serve_tick(node);
 }
 
+void
+bv_target_recall(bv_node_t *node, const bv_departure_t *departure)
+{
+    if (bv_local_target_recall(&node->target, departure)) {
+        handle_change(node);
+    }
+}
+
+void
+bv_target_end_recall(bv_node_t *node)
+{
+    if (bv_local_target_end_recall(&node->target)) {
+        handle_change(node);
+    }
+}
+
 static void
 apply_announcement(bv_node_t *node, const bv_announcement_t *announcement,
                    bv_findings_t *findings)
@@ -132,6 +150,7 @@
                                    findings)) {
         apply_announcement(node, &announcement, findings);
     }
+    bv_departures_update(node);
     if (!bv_findings_is_empty(findings)) {
         char *problems = bv_findings_to_string(findings);
         report_bad_announcement(node, problems);
@@ -139,7 +158,11 @@
         reply.outcome = BV_OUTCOME_NOT_RUN;
         reply.body = g_bytes_new_take(problems, strlen(problems));
     }
-    bv_call_reply(call, &reply);
+    bool is_departure =
+        reply.status == 200 && announcement.state != BV_ANNOUNCED_READY;
+    if (!is_departure || !bv_departures_hold(node, call)) {
+        bv_call_reply(call, &reply);
+    }
     g_clear_pointer(&reply.body, g_bytes_unref);
     bv_findings_destroy(findings);
 }
--- a/peer/gossip_codec.c
+++ b/peer/gossip_codec.c
@@ -3,13 +3,42 @@
 
 #include <string.h>
 
+/* The fields of a record but its departures, which come last. */
 #define RECORD_FIELD_COUNT 12
+#define DEPARTURE_FIELD_COUNT 3
 #define PACKET_FIELD_COUNT 11
 
+static void
+pack_departures(msgpack_packer *packer, const bv_departures_t *departures)
+{
+    for (uint32_t i = 0; i < bv_departures_count(departures); i++) {
+        const bv_departure_t *departure = &departures->items[i];
+        msgpack_pack_uint64(packer, departure->instance_digest);
+        msgpack_pack_uint64(packer, departure->start_ms);
+        msgpack_pack_uint64(packer, departure->sequence);
+    }
+}
+
+/* Reads what follows the other fields; earlier versions send nothing there. */
+static void
+unpack_departures(bv_unpack_t *record, bv_departures_t *departures)
+{
+    for (uint32_t i = 0;
+         i < BV_DEPARTURES_KEPT && record->next < record->array->size; i++) {
+        bv_departure_t departure;
+        departure.instance_digest = bv_unpack_number(record, UINT64_MAX);
+        departure.start_ms = bv_unpack_number(record, UINT64_MAX);
+        departure.sequence = bv_unpack_number(record, UINT64_MAX);
+        bv_departures_add(departures, &departure);
+    }
+}
+
 static void
 pack_record(msgpack_packer *packer, const bv_member_t *member)
 {
-    msgpack_pack_array(packer, RECORD_FIELD_COUNT);
+    uint32_t departures = bv_departures_count(&member->departures);
+    msgpack_pack_array(packer, RECORD_FIELD_COUNT +
+                                   DEPARTURE_FIELD_COUNT * departures);
     bv_pack_text(packer, member->name);
     bv_pack_text(packer, member->service);
     bv_pack_text(packer, member->data_centre);
@@ -22,6 +51,7 @@
     msgpack_pack_uint64(packer, member->slots);
     msgpack_pack_uint64(packer, member->state);
     msgpack_pack_uint64(packer, member->generation);
+    pack_departures(packer, &member->departures);
 }
 
 static void
@@ -42,6 +72,9 @@
     member->state =
         (bv_member_state_t)bv_unpack_number(&record, BV_MEMBER_DEAD);
     member->generation = bv_unpack_number(&record, UINT64_MAX);
+    if (!record.has_failed) {
+        unpack_departures(&record, &member->departures);
+    }
     unpack->has_failed |= record.has_failed || member->name[0] == '\0';
 }
 
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -201,6 +201,17 @@
     }
 }
 
+uint16_t
+platform_deregister(platform_fixture_t *fixture, size_t node_index)
+{
+    char *path = g_strdup_printf("/v1/instances/i-%zu/deregister", node_index);
+    uint16_t status = platform_request_status(
+        fixture->nodes[node_index].ports[PLATFORM_PORT_CONTROL], "POST", path,
+        NULL, "");
+    g_free(path);
+    return status;
+}
+
 uint16_t
 platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                    const char *state)
@@ -366,17 +377,33 @@
     };
     node->target = bv_listener_start(&target, NULL);
     ck_assert_ptr_nonnull(node->target);
+    platform_restart_node(fixture, node_index);
+    return node_index;
+}
+
+void
+platform_end_node(platform_fixture_t *fixture, size_t node_index,
+                  int signal_number)
+{
+    platform_node_t *node = &fixture->nodes[node_index];
+    ck_assert_int_eq(kill(node->pid, signal_number), 0);
+    ck_assert_int_eq(waitpid(node->pid, NULL, 0), node->pid);
+    node->pid = 0;
+}
+
+void
+platform_restart_node(platform_fixture_t *fixture, size_t node_index)
+{
     char *settings = write_settings(fixture, node_index);
     char *log = log_path(fixture, node_index);
     const char *const arguments[] = {
-        "/bin/sh", "-c",     "exec \"$0\" -s \"$1\" >\"$2\"",
+        "/bin/sh", "-c",     "exec \"$0\" -s \"$1\" >>\"$2\"",
         node_path, settings, fixture->keeps_logs ? log : "/dev/null",
         NULL,
     };
-    node->pid = start_program(arguments);
+    fixture->nodes[node_index].pid = start_program(arguments);
     g_free(log);
     g_free(settings);
-    return node_index;
 }
 
 uint16_t
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -99,6 +99,11 @@
 /* Starts a node without seeds beside a target; returns the node's index. */
 size_t platform_start_node(platform_fixture_t *fixture, const char *service);
 
+/* Ends a node's process by a signal, and starts one in its place. */
+void platform_end_node(platform_fixture_t *fixture, size_t node_index,
+                       int signal_number);
+void platform_restart_node(platform_fixture_t *fixture, size_t node_index);
+
 /* Returns what a node has logged so far, which g_free() frees. */
 char *platform_read_log(const platform_fixture_t *fixture, size_t node_index);
 
@@ -146,6 +151,9 @@
 int64_t platform_write_other_rows(const platform_fixture_t *fixture,
                                   size_t count);
 
+/* Sends the departure of a node's target; returns the status. */
+uint16_t platform_deregister(platform_fixture_t *fixture, size_t node_index);
+
 /* Sends a heartbeat of a node's target; returns the status. */
 uint16_t platform_heartbeat(platform_fixture_t *fixture, size_t node_index,
                             const char *state);
--- a/tests/member_cluster.c
+++ b/tests/member_cluster.c
@@ -214,8 +214,20 @@
     (void)member;
 }
 
-static const bv_membership_ops_t ops = {send_packet, on_member_changed,
-                                        ignore_config_report};
+static void
+on_self_reported(void *context, const bv_member_t *record)
+{
+    member_node_t *node = context;
+    node->reports += bv_departures_count(&record->departures) > 0;
+    bv_departures_merge(&node->reported, &record->departures);
+}
+
+static const bv_membership_ops_t ops = {
+    .send = send_packet,
+    .member_changed = on_member_changed,
+    .config_reported = ignore_config_report,
+    .self_reported = on_self_reported,
+};
 
 /*
  * Reads rows of the store: the records of some random nodes as these were when
@@ -258,6 +270,7 @@
     node->is_up = true;
     node->is_paused = false;
     node->has_left = false;
+    node->reported = (bv_departures_t){0};
     node->membership = bv_membership_create(&options);
     node->model =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/member_cluster.h
+++ b/tests/member_cluster.h
@@ -38,6 +38,9 @@
     GHashTable *model;
     /* Members that this node declared dead or received as dead. */
     uint64_t evictions;
+    /* What members reported of this node's target since the start. */
+    bv_departures_t reported;
+    uint64_t reports;
 } member_node_t;
 
 typedef struct {
--- a/tests/test_local_target.c
+++ b/tests/test_local_target.c
@@ -15,6 +15,7 @@
 #define READY BV_ANNOUNCED_READY
 #define DRAINING BV_ANNOUNCED_DRAINING
 #define LEFT BV_ANNOUNCED_LEFT
+#define WHOLE BV_DEPARTURE_WHOLE_START
 
 typedef struct {
     const char *instance;
@@ -246,7 +247,8 @@
 START_TEST(test_announcements)
 {
     const case_t *row = &cases[_i];
-    bv_local_target_options_t options = {row->service, SILENCE_US};
+    bv_local_target_options_t options = {.service = row->service,
+                                         .silence_us = SILENCE_US};
     bv_local_target_t target;
     bv_local_target_init(&target, &options);
     bv_announcement_result_t result = BV_ANNOUNCED_STALE;
@@ -269,7 +271,8 @@
 START_TEST(test_silent_and_unreachable)
 {
     const announced_t entry = FIRST;
-    bv_local_target_options_t options = {"shop", SILENCE_US};
+    bv_local_target_options_t options = {.service = "shop",
+                                         .silence_us = SILENCE_US};
     bv_announcement_t announcement = make_announcement(&entry);
     bv_local_target_t target;
     bv_local_target_init(&target, &options);
@@ -302,7 +305,8 @@
 START_TEST(test_many_departures)
 {
     const announced_t entry = FIRST;
-    bv_local_target_options_t options = {"shop", SILENCE_US};
+    bv_local_target_options_t options = {.service = "shop",
+                                         .silence_us = SILENCE_US};
     bv_local_target_t target;
     bv_local_target_init(&target, &options);
     bv_announcement_t left = {.state = LEFT};
@@ -323,6 +327,102 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    bv_departure_t recalled;
+    /* The target, announced before the departure is recalled. */
+    announced_t announced;
+    announced_t later;
+    bool takes_out;
+    /* Whether the target is usable after the later announcement. */
+    bool is_usable;
+} recall_case_t;
+
+#define NEXT(start_ms, sequence)                                              \
+    {                                                                         \
+        "a", start_ms, sequence, READY, "shop", "10.0.0.1", 80                \
+    }
+
+/* The digest is that of "a". */
+static const recall_case_t recall_cases[] = {
+    {"left", {0, 10, WHOLE}, NEXT(10, 1), NEXT(10, 2), true, false},
+    {"left, new start", {0, 10, WHOLE}, NEXT(10, 1), NEXT(11, 1), true, true},
+    {"left, later start known",
+     {0, 10, WHOLE},
+     NEXT(11, 1),
+     NEXT(11, 2),
+     false,
+     true},
+    {"draining", {0, 10, 5}, NEXT(10, 4), NEXT(10, 5), true, false},
+    {"draining, ready again",
+     {0, 10, 5},
+     NEXT(10, 4),
+     NEXT(10, 6),
+     true,
+     true},
+    {"draining, ready again before",
+     {0, 10, 5},
+     NEXT(10, 6),
+     NEXT(10, 7),
+     false,
+     true},
+    {"draining, new start", {0, 10, 5}, NEXT(10, 4), NEXT(12, 1), true, true},
+};
+
+/*
+ * Guards against a restarted node that sends work to a target whose departure
+ * it learns only after a late heartbeat of it.
+ */
+START_TEST(test_recall)
+{
+    const recall_case_t *row = &recall_cases[_i];
+    bv_local_target_options_t options = {.service = "shop",
+                                         .silence_us = SILENCE_US};
+    bv_announcement_t announced = make_announcement(&row->announced);
+    bv_announcement_t later = make_announcement(&row->later);
+    bv_departure_t recalled = row->recalled;
+    recalled.instance_digest = bv_departure_digest("a");
+    bv_local_target_t target;
+    bv_local_target_init(&target, &options);
+    bv_local_target_apply(&target, 0, WALL_MS, &announced);
+    ck_assert(bv_local_target_is_usable(&target));
+    ck_assert_msg(bv_local_target_recall(&target, &recalled) == row->takes_out,
+                  "%s", row->name);
+    ck_assert_msg(bv_local_target_is_usable(&target) != row->takes_out, "%s",
+                  row->name);
+    ck_assert(!bv_local_target_recall(&target, &recalled));
+    bv_local_target_apply(&target, 0, WALL_MS, &later);
+    ck_assert_msg(bv_local_target_is_usable(&target) == row->is_usable, "%s",
+                  row->name);
+}
+END_TEST
+
+/*
+ * Guards against a target that is used while the departures that an earlier
+ * process acknowledged are not known, and against a wait for them where there
+ * can be none: with a target that started after the node.
+ */
+START_TEST(test_wait_for_recall)
+{
+    const announced_t early = NEXT(10, 1);
+    const announced_t late = NEXT(11, 1);
+    bv_local_target_options_t options = {
+        .service = "shop", .silence_us = SILENCE_US, .node_start_ms = 10};
+    bv_announcement_t announcement = make_announcement(&early);
+    bv_local_target_t target;
+    bv_local_target_init(&target, &options);
+    bv_local_target_apply(&target, 0, WALL_MS, &announcement);
+    ck_assert(!bv_local_target_is_usable(&target));
+    ck_assert(bv_local_target_end_recall(&target));
+    ck_assert(bv_local_target_is_usable(&target));
+    ck_assert(!bv_local_target_end_recall(&target));
+    bv_local_target_init(&target, &options);
+    announcement = make_announcement(&late);
+    bv_local_target_apply(&target, 0, WALL_MS, &announcement);
+    ck_assert(bv_local_target_is_usable(&target));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -330,6 +430,8 @@
         {"announcements", test_announcements, G_N_ELEMENTS(cases)},
         {"silent_and_unreachable", test_silent_and_unreachable, 1},
         {"many_departures", test_many_departures, 1},
+        {"recall", test_recall, G_N_ELEMENTS(recall_cases)},
+        {"wait_for_recall", test_wait_for_recall, 1},
         {NULL}};
     return support_run("local_target", tests);
 }
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -409,6 +409,10 @@
             .record_count = 2,
             .records = {from, from},
         };
+        packet.records[0].departures =
+            (bv_departures_t){{{MAX(numbers[i], 1), numbers[i], numbers[i]},
+                               {5, numbers[i], 200}}};
+        packet.records[1].departures = (bv_departures_t){{{3, 5, numbers[i]}}};
         packet.records[0].version = (uint32_t)numbers[i];
         packet.records[0].peer_port = (uint16_t)numbers[i];
         packet.records[1].incarnation = numbers[i];
@@ -419,10 +423,63 @@
         ck_assert_uint_eq(decoded.record_count, 2);
         ck_assert_str_eq(decoded.records[1].service, service);
         ck_assert_uint_eq(decoded.records[1].incarnation, numbers[i]);
+        for (uint32_t record = 0; record < 2; record++) {
+            ck_assert(
+                bv_departures_include(&decoded.records[record].departures,
+                                      &packet.records[record].departures));
+        }
     }
 }
 END_TEST
 
+/*
+ * Guards against records that never leave their node: the greatest sender's
+ * record and one more as great fit into a packet.
+ */
+START_TEST(test_greatest_gossip)
+{
+    char name[BV_NAME_BYTES] = "";
+    char service[BV_SERVICE_BYTES] = "";
+    memset(name, 'n', BV_NAME_BYTES - 1);
+    memset(service, 's', BV_SERVICE_BYTES - 1);
+    bv_member_t member = make_member(name, service);
+    g_strlcpy(member.data_centre, name, BV_NAME_BYTES);
+    g_strlcpy(member.region, name, BV_NAME_BYTES);
+    memset(member.address, 'a', BV_ADDRESS_BYTES - 1);
+    member.peer_port = UINT16_MAX;
+    member.gossip_port = UINT16_MAX;
+    member.incarnation = UINT64_MAX;
+    member.version = UINT32_MAX;
+    member.slots = UINT32_MAX;
+    member.generation = UINT64_MAX;
+    for (uint32_t i = 0; i < BV_DEPARTURES_KEPT; i++) {
+        member.departures.items[i] =
+            (bv_departure_t){UINT64_MAX - i, UINT64_MAX, UINT64_MAX};
+    }
+    bv_gossip_packet_t packet = {
+        .kind = BV_GOSSIP_ACK,
+        .number = UINT64_MAX,
+        .sequence = UINT64_MAX,
+        .generation = UINT64_MAX,
+        .config_digest = UINT64_MAX,
+        .bucket = BV_GOSSIP_BUCKETS - 1,
+        .bucket_digest = UINT64_MAX,
+        .record_count = 1,
+        .records = {member},
+    };
+    g_strlcpy(packet.probe_target, name, BV_NAME_BYTES);
+    uint8_t out[BV_GOSSIP_BYTES];
+    size_t size = bv_gossip_encode(&member, &packet, out);
+    ck_assert_uint_eq(size, bv_membership_packet_bytes(&member, &packet));
+    bv_member_t decoded_from;
+    bv_gossip_packet_t decoded;
+    ck_assert(bv_gossip_decode(out, size, &decoded_from, &decoded));
+    ck_assert_uint_eq(decoded.record_count, 1);
+    ck_assert(bv_departures_include(&decoded.records[0].departures,
+                                    &member.departures));
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -438,6 +495,7 @@
         {"quota_damaged", test_quota_damaged, 1},
         {"gossip_bytes", test_gossip_bytes, 1},
         {"gossip_sizes", test_gossip_sizes, G_N_ELEMENTS(service_lengths)},
+        {"greatest_gossip", test_greatest_gossip, 1},
         {"report", test_report, 1},
         {"damaged", test_damaged, 2},
         {NULL}};
