Target client: what waits for a connection is refused when the target leaves

What callers saw: a request reached a target more than DrainMs (2.5 s) after its node had acknowledged that it drains, and was cut off by the target's exit.

Cause: a drain refused the work in the node's queue, but not that which had been handed to the client of the target and waited there for its connection. The kernel repeats a connection attempt after 1 s and 3 s; the request was sent when the connection was made at last.

It is one of the places where a request may wait that e2e_target_drain did not guard.

Change: when the target leaves, work of which no byte was written ends as not run, with the reason of queued work, so that the callers' nodes send it to other targets. Nothing of it was sent, so it has not run.

This is not shown to be what the users saw.

--- a/include/berylvane/targets/client.h
+++ b/include/berylvane/targets/client.h
@@ -94,6 +94,12 @@
  */
 void bv_target_client_cancel(bv_target_client_t *client, uint64_t id);
 
+/*
+ * Ends all work of which nothing was sent yet, as "not run" with the reason
+ * "draining": the target takes no new work. Most of it waits for a connection.
+ */
+void bv_target_client_cancel_unsent(bv_target_client_t *client);
+
 void bv_target_result_destroy(bv_target_result_t *result);
 
 #endif
--- a/node/serve.c
+++ b/node/serve.c
@@ -152,15 +152,23 @@
     }
 }
 
+/*
+ * The served state of an answer to work that was accepted and not sent: the
+ * reason "draining" is then that of the target, not of the node.
+ */
+static bv_served_state_t
+refused_state(bv_reason_t reason)
+{
+    return reason == BV_REASON_DRAINING ? BV_SERVED_QUEUED : BV_SERVED_UNSEEN;
+}
+
 void
 bv_serve_refuse(bv_node_t *node, bv_served_t *served, bv_reason_t reason)
 {
     const bv_peer_message_t *dispatch = served->dispatch;
     bv_sessions_finish(node->sessions, node->now_us, &served->key, false);
     count_refusal(dispatch, reason);
-    refuse_dispatch(node, dispatch, reason,
-                    reason == BV_REASON_DRAINING ? BV_SERVED_QUEUED
-                                                 : BV_SERVED_UNSEEN,
+    refuse_dispatch(node, dispatch, reason, refused_state(reason),
                     node->now_us - served->arrived_us);
     bv_serve_remove(node, served);
 }
@@ -539,6 +547,10 @@
     if (result->reason == BV_REASON_CONNECT) {
         bv_target_set_unreachable(node);
     }
+    else if (result->reason == BV_REASON_DRAINING) {
+        count_refusal(dispatch, result->reason);
+        bv_node_count_reason(result->reason);
+    }
     else if (result->reason == BV_REASON_DESCRIPTORS) {
         report_no_descriptors(node);
     }
@@ -557,6 +569,7 @@
         create_answer(node, dispatch, result->outcome, result->reason);
     answer->credit = bv_credits_close(node->credits, &dispatch->request_id,
                                       dispatch->credit);
+    answer->served_state = refused_state(result->reason);
     if (result->outcome == BV_OUTCOME_RAN) {
         answer->status = result->status;
         answer->headers = g_strdup(result->headers);
--- a/node/target.c
+++ b/node/target.c
@@ -80,6 +80,9 @@
            "service", newest->service, "port", BV_NUM(newest->port), "slots",
            BV_NUM(newest->slots), "state", state_name(newest->state), NULL);
     publish_capacity(node);
+    if (bv_local_target_is_leaving(&node->target)) {
+        bv_target_client_cancel_unsent(node->target_client);
+    }
     /* Refuses queued work if the target leaves, starts it if it is back. */
     bv_serve_tick(node);
 }
--- a/targets/client.c
+++ b/targets/client.c
@@ -381,13 +381,19 @@
 }
 
 /* A request of which nothing was written has certainly not run. */
+static bool
+is_sent(const request_t *request)
+{
+    return request->connection->written_bytes > 0;
+}
+
 static void
 expire_request(bv_target_client_t *client, request_t *request)
 {
-    bool is_sent = request->connection->written_bytes > 0;
+    bool may_have_run = is_sent(request);
     finish_request(client, request, BV_TARGET_BUSY,
-                   is_sent ? BV_OUTCOME_UNKNOWN : BV_OUTCOME_NOT_RUN,
-                   is_sent ? BV_REASON_TIMEOUT : BV_REASON_CONNECT);
+                   may_have_run ? BV_OUTCOME_UNKNOWN : BV_OUTCOME_NOT_RUN,
+                   may_have_run ? BV_REASON_TIMEOUT : BV_REASON_CONNECT);
 }
 
 /*
@@ -588,6 +594,20 @@
     }
 }
 
+void
+bv_target_client_cancel_unsent(bv_target_client_t *client)
+{
+    GSequenceIter *iter = g_sequence_get_begin_iter(client->deadlines);
+    while (!g_sequence_iter_is_end(iter)) {
+        request_t *request = g_sequence_get(iter);
+        iter = g_sequence_iter_next(iter);
+        if (!is_sent(request)) {
+            finish_request(client, request, BV_TARGET_BUSY, BV_OUTCOME_NOT_RUN,
+                           BV_REASON_DRAINING);
+        }
+    }
+}
+
 void
 bv_target_client_stop(bv_target_client_t *client)
 {
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -179,15 +179,27 @@
     }
 }
 
-void
-platform_answer_held(platform_fixture_t *fixture, size_t node_index)
+static bv_call_t *
+take_held(platform_node_t *node)
 {
-    platform_node_t *node = &fixture->nodes[node_index];
     bv_call_t *call = bv_ring_wait(node->held, PLATFORM_STATE_TIMEOUT_US);
     ck_assert_ptr_nonnull(call);
     g_atomic_int_add(&node->held_count, -1);
     g_atomic_int_set(&node->mode, PLATFORM_TARGET_SERVE);
-    answer_as(node, call, PLATFORM_TARGET_SERVE);
+    return call;
+}
+
+void
+platform_answer_held(platform_fixture_t *fixture, size_t node_index)
+{
+    platform_node_t *node = &fixture->nodes[node_index];
+    answer_as(node, take_held(node), PLATFORM_TARGET_SERVE);
+}
+
+void
+platform_drop_held(platform_fixture_t *fixture, size_t node_index)
+{
+    bv_call_drop(take_held(&fixture->nodes[node_index]));
 }
 
 void
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -162,6 +162,9 @@
 void platform_wait_for_held(platform_fixture_t *fixture, size_t node_index);
 void platform_answer_held(platform_fixture_t *fixture, size_t node_index);
 
+/* Closes the connection of the call that the target of a node holds. */
+void platform_drop_held(platform_fixture_t *fixture, size_t node_index);
+
 /* Sends a caller's request through a node; returns the status. */
 uint16_t platform_call(const platform_fixture_t *fixture, size_t node_index,
                        const char *path, const char *extra_headers);
--- a/tests/e2e/test_target_drain.c
+++ b/tests/e2e/test_target_drain.c
@@ -99,6 +99,24 @@
     }
 }
 
+static uint16_t
+announce_drain(void)
+{
+    return platform_heartbeat(&fixture, 1, "draining");
+}
+
+/* The heartbeats that follow are those of a new start. */
+static uint16_t
+announce_departure(void)
+{
+    uint16_t status = platform_deregister(&fixture, 1);
+    fixture.nodes[1].born_ms = bv_clock_wall_us() / BV_US_PER_MS;
+    return status;
+}
+
+static uint16_t (*const ways_to_leave[])(void) = {announce_drain,
+                                                  announce_departure};
+
 START_TEST(test_queue_of_a_draining_target)
 {
     apr_pool_t *pool = bv_program_start();
@@ -119,7 +137,7 @@
     }
     wait_until_queued(1);
     uint32_t running = (uint32_t)g_atomic_int_get(&back->arrived);
-    ck_assert_uint_eq(platform_heartbeat(&fixture, 1, "draining"), 200);
+    ck_assert_uint_eq(ways_to_leave[_i](), 200);
     platform_release_calls(back);
     ck_assert_uint_eq(join_calls(threads, 200), running);
     ck_assert_int_eq(g_atomic_int_get(&back->arrived), (int)running);
@@ -203,7 +221,8 @@
 main(void)
 {
     const support_test_t tests[] = {
-        {"queue_of_a_draining_target", test_queue_of_a_draining_target, 1},
+        {"queue_of_a_draining_target", test_queue_of_a_draining_target,
+         G_N_ELEMENTS(ways_to_leave)},
         {"queue_of_a_stopped_node", test_queue_of_a_stopped_node, 1},
         {"departure_heard_first", test_departure_heard_first, 1},
         {NULL}};
