Target client: heads and turns in files of their own

The head of a request is written by client_head.c; which responses are read on while memory is short is decided in client_turns.c; client_internal.h declares what they share. The lines moved as they were; nothing that callers see changes. The tests of the target's client (target_*, answer_endings, broken_answers, response_memory, endless_answers) pass.

--- a/targets/client.c
+++ b/targets/client.c
@@ -1,15 +1,12 @@
-#include "berylvane/targets/client.h"
+#include "client_internal.h"
 
 #include "berylvane/common/clock.h"
-#include "berylvane/common/counters.h"
 #include "berylvane/common/headers.h"
-#include "pool.h"
 
 #include <string.h>
 #include <sys/epoll.h>
 
 #define EVENTS_AT_ONCE 64
-#define HEAD_TYPICAL_BYTES 1024
 #define SHORTEST_TIMEOUT_US BV_US_PER_MS
 /*
  * Turns of a connection after the deadline of its request, of 512 KiB each:
@@ -20,45 +17,6 @@
 /* How soon input that may not be read is looked at again. */
 #define PAUSE_CHECK_US (5 * BV_US_PER_MS)
 
-/* The turn passes on if the target sends nothing more for this time. */
-#define TURN_IDLE_US BV_US_PER_S
-
-typedef struct request request_t;
-
-struct bv_target_client {
-    bv_target_client_options_t options;
-    bv_target_poll_t poll;
-    bv_target_pool_t pool;
-    bv_response_share_t share;
-    /* Unfinished requests by ID, and ordered by deadline. */
-    GHashTable *requests;
-    GSequence *deadlines;
-    /* Requests whose connection has input that no event announces. */
-    GQueue unread;
-    /* The request that goes on while others may not be read; NULL for none. */
-    const request_t *turn;
-    /* When it was read last. */
-    int64_t turn_us;
-};
-
-struct request {
-    uint64_t id;
-    bv_target_connection_t *connection;
-    bv_target_head_t head;
-    /* The connection may be kept for other requests. */
-    bool keeps_connection;
-    int64_t started_us;
-    int64_t deadline_us;
-    GSequenceIter *timer;
-    GList unread_link;
-    bool is_unread;
-    /* No other request has waited longer for its input to be read. */
-    bool is_first;
-    bool was_paused;
-    /* Turns that the connection had after the deadline. */
-    uint32_t late_turns;
-};
-
 static gint
 compare_deadlines(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -68,61 +26,6 @@
     return (deadline_a > deadline_b) - (deadline_a < deadline_b);
 }
 
-/*
- * Whether a request may go on while others wait: the one that has the turn, or
- * the next one if that has ended or its target sends nothing.
- */
-static bool
-has_turn(const bv_target_client_t *client, const request_t *request,
-         bool is_first)
-{
-    bool is_free = client->turn == NULL ||
-                   bv_clock_now_us() - client->turn_us >= TURN_IDLE_US;
-    return client->turn == request || (is_first && is_free);
-}
-
-/* Sets `takes_turn` if the request may be read only since it has the turn. */
-static bool
-may_read_request(const bv_target_client_t *client, const request_t *request,
-                 bool is_first, bool *takes_turn)
-{
-    const bv_target_client_options_t *options = &client->options;
-    size_t bytes = request->connection->response.body.bytes->len;
-    *takes_turn = false;
-    if (options->may_read == NULL ||
-        options->may_read(options->context, bytes, false)) {
-        return true;
-    }
-    *takes_turn = has_turn(client, request, is_first) &&
-                  options->may_read(options->context, bytes, true);
-    return *takes_turn;
-}
-
-/*
- * Whether more of a response may be read now. After its deadline it is always
- * read, see expire_requests().
- */
-static bool
-may_read(void *context, const bv_target_connection_t *connection)
-{
-    bv_target_client_t *client = context;
-    request_t *request = connection->owner;
-    bool takes_turn;
-    if (request->late_turns > 0) {
-        return true;
-    }
-    if (!may_read_request(client, request, request->is_first, &takes_turn)) {
-        bv_counter_add(BV_COUNT_ANSWERS_PAUSED, !request->was_paused);
-        request->was_paused = true;
-        return false;
-    }
-    if (takes_turn) {
-        client->turn = request;
-        client->turn_us = bv_clock_now_us();
-    }
-    return true;
-}
-
 bv_target_client_t *
 bv_target_client_start(apr_pool_t *pool,
                        const bv_target_client_options_t *options)
@@ -133,7 +36,7 @@
         client->options.dialect = &bv_target_own_dialect;
     }
     bv_target_poll_init(&client->poll, options->read_bytes);
-    client->poll.may_read = may_read;
+    client->poll.may_read = client_may_read;
     client->poll.context = client;
     bv_target_pool_init(&client->pool, options->kept_connections);
     client->share.limit_bytes = options->answers_limit_bytes;
@@ -162,20 +65,6 @@
     return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
 
-/* Whether any of the requests with unread input may be read. */
-static bool
-can_read_on(const bv_target_client_t *client)
-{
-    const GList *head = client->unread.head;
-    for (const GList *link = head; link != NULL; link = link->next) {
-        bool takes_turn;
-        if (may_read_request(client, link->data, link == head, &takes_turn)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 int64_t
 bv_target_client_next_timer_us(const bv_target_client_t *client)
 {
@@ -184,7 +73,7 @@
     if (client->unread.length == 0) {
         return due_us;
     }
-    return can_read_on(client)
+    return client_can_read_on(client)
                ? 0
                : MIN(due_us, bv_clock_now_us() + PAUSE_CHECK_US);
 }
@@ -288,15 +177,6 @@
     client->options.on_result(client->options.context, result);
 }
 
-static void
-keep_unread(bv_target_client_t *client, request_t *request)
-{
-    if (!request->is_unread) {
-        request->is_unread = true;
-        g_queue_push_tail_link(&client->unread, &request->unread_link);
-    }
-}
-
 static void
 handle_progress(bv_target_client_t *client, request_t *request,
                 bv_target_progress_t progress)
@@ -305,7 +185,7 @@
     case BV_TARGET_BUSY:
         return;
     case BV_TARGET_UNREAD:
-        keep_unread(client, request);
+        client_keep_unread(client, request);
         return;
     case BV_TARGET_ANSWERED:
         finish_request(client, request, progress, BV_OUTCOME_RAN,
@@ -457,65 +337,6 @@
     bv_target_client_run_timers(client);
 }
 
-/* Whether a request without a body states that its length is 0. */
-static bool
-states_empty_body(const char *method)
-{
-    return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
-           strcmp(method, "PATCH") == 0;
-}
-
-/* IPv6 numbers may be announced in brackets, as in a URL. */
-static bv_target_endpoint_t
-endpoint_of(const bv_target_work_t *work)
-{
-    bv_target_endpoint_t endpoint = {.port = work->port};
-    bool has_brackets = work->address[0] == '[';
-    g_strlcpy(endpoint.address, work->address + (has_brackets ? 1 : 0),
-              sizeof(endpoint.address));
-    if (has_brackets) {
-        endpoint.address[strcspn(endpoint.address, "]")] = '\0';
-    }
-    return endpoint;
-}
-
-/* A dialect may forward the caller's Host header. */
-static void
-append_host(GString *lines, const bv_target_work_t *work)
-{
-    char *forwarded = bv_headers_get(work->headers, "Host");
-    bool needs_brackets =
-        strchr(work->address, ':') != NULL && work->address[0] != '[';
-    if (forwarded == NULL) {
-        g_string_append_printf(lines, "Host: %s%s%s:%u\r\n",
-                               needs_brackets ? "[" : "", work->address,
-                               needs_brackets ? "]" : "", work->port);
-    }
-    g_free(forwarded);
-}
-
-static void
-write_head(const bv_target_client_t *client, const bv_target_work_t *work,
-           bv_target_head_t *head)
-{
-    const bv_target_dialect_t *dialect = client->options.dialect;
-    gsize body_bytes = work->body != NULL ? g_bytes_get_size(work->body) : 0;
-    GString *lines = g_string_sized_new(HEAD_TYPICAL_BYTES);
-    head->lines = lines;
-    g_string_append(lines, work->method);
-    g_string_append_c(lines, ' ');
-    g_string_append(lines, work->path);
-    g_string_append(lines, " HTTP/1.1\r\n");
-    append_host(lines, work);
-    g_string_append(lines, work->headers != NULL ? work->headers : "");
-    dialect->write_head(dialect->context, work, head);
-    if (body_bytes > 0 || states_empty_body(work->method)) {
-        g_string_append_printf(
-            lines, "Content-Length: %" G_GSIZE_FORMAT "\r\n", body_bytes);
-    }
-    g_string_append(lines, "\r\n");
-}
-
 static request_t *
 create_request(bv_target_client_t *client, const bv_target_work_t *work)
 {
@@ -533,6 +354,20 @@
     return request;
 }
 
+/* IPv6 numbers may be announced in brackets, as in a URL. */
+static bv_target_endpoint_t
+endpoint_of(const bv_target_work_t *work)
+{
+    bv_target_endpoint_t endpoint = {.port = work->port};
+    bool has_brackets = work->address[0] == '[';
+    g_strlcpy(endpoint.address, work->address + (has_brackets ? 1 : 0),
+              sizeof(endpoint.address));
+    if (has_brackets) {
+        endpoint.address[strcspn(endpoint.address, "]")] = '\0';
+    }
+    return endpoint;
+}
+
 /* Returns BV_TARGET_BUSY if the request has a connection. */
 static bv_target_progress_t
 connect_request(bv_target_client_t *client, const bv_target_work_t *work,
@@ -560,7 +395,7 @@
         handle_progress(client, request, progress);
         return;
     }
-    write_head(client, work, &request->head);
+    client_write_head(client->options.dialect, work, &request->head);
     bv_target_exchange_t exchange = {
         .head = request->head.lines,
         .body = work->body,
