Logs: the revision of a node, and work that is handed to a leaving target

Two of the hypotheses could not be told apart by what they can send us: that their binary is older than, and that work is handed over after the acknowledgement. Both give the same requests at the same times, and every build calls itself 0.1.0.

`started` now states the commit that the node was built from (`git describe`; the version where there is no repository). A hand-over to a target that drains or has left breaks an invariant, which is logged with its name and fatal in the builds for tests. `departure_acknowledged` says how much the target still works at. Callers see nothing of it.

e2e_target_drain and e2e_leaving_target pass with the invariant compiled in.

--- a/node/departures.c
+++ b/node/departures.c
@@ -91,7 +91,8 @@
     const bv_departure_keeper_t *keeper = node->departures;
     bool is_kept = is_stored(keeper) || is_reported(keeper);
     bv_log(is_kept ? BV_LOG_INFO : BV_LOG_WARN, "departure_acknowledged",
-           "acknowledged", BV_NUM(is_kept), "in_store",
+           "acknowledged", BV_NUM(is_kept), "running",
+           BV_NUM(bv_admission_running(node->admission)), "in_store",
            BV_NUM(is_stored(keeper)), "at_members",
            BV_NUM(is_reported(keeper)), "waited_ms",
            BV_NUM((node->now_us - keeper->changed_us) / BV_US_PER_MS), NULL);
--- a/node/main.c
+++ b/node/main.c
@@ -1,5 +1,6 @@
 #include "berylvane/common/log.h"
 #include "berylvane/common/program.h"
+#include "berylvane/common/revision.h"
 #include "berylvane/common/shutdown.h"
 #include "berylvane/node/node.h"
 #include "berylvane/platform/dialect.h"
@@ -108,7 +109,8 @@
         bv_log_stop();
         return BV_EXIT_FAILED;
     }
-    bv_log(BV_LOG_INFO, "started", "version", BV_VERSION, NULL);
+    bv_log(BV_LOG_INFO, "started", "version", BV_VERSION, "revision",
+           bv_revision, NULL);
     bv_program_set_signal_handler(pool, on_signal, node);
     bv_node_run(node);
     bv_log(BV_LOG_INFO, "stopped", NULL);
--- a/node/serve.c
+++ b/node/serve.c
@@ -36,6 +36,9 @@
 {
     char span[BV_TRACE_TEXT_BYTES];
     const bv_peer_message_t *dispatch = served->dispatch;
+    bv_invariant(!bv_local_target_is_leaving(&node->target),
+                 "no_work_for_leaving_target",
+                 node->target.last_announcement.instance);
     bv_target_work_t work = {
         .id = served->id,
         .address = node->target.last_announcement.address,
