Read-through: one reader of the status page, and a pause after a conflict

Two tests read numbers of the status page with the same lines; the fixture has them now. A store that answers each insertion with a conflict but names no row would be asked again without a pause; the row of departures is now tried again after 250 ms. Found by reading; no store was seen to do so. e2e_departures, e2e_leaving_target, e2e_target_drain and membership_departures pass.

--- a/core/membership.c
+++ b/core/membership.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define REPLAY_WINDOW_BITS 64
+/* Packets in which a member is sent its departures, as one may be lost. */
+#define DEPARTURE_REPORTS 4
 
 static const char *const state_names[] = {"alive", "suspect", "draining",
                                           "left", "dead"};
@@ -123,9 +125,6 @@
     membership->is_refutation_due = true;
 }
 
-/* Packets in which a member is sent its departures, as one may be lost. */
-#define DEPARTURE_REPORTS 4
-
 /*
  * Keeps the departures of an incarnation that has ended until the member has
  * learned them. A record that is full of departures has no room for more.
--- a/node/departures.c
+++ b/node/departures.c
@@ -278,7 +278,9 @@
     keeper->is_store_busy = false;
     if (answer->result == BV_STORE_OK || answer->result == BV_STORE_CONFLICT) {
         keeper->store_retry_us = STORE_RETRY_FIRST_US;
-        keeper->store_due_us = node->now_us;
+        keeper->store_due_us = answer->result == BV_STORE_OK
+                                   ? node->now_us
+                                   : node->now_us + STORE_RETRY_FIRST_US;
         if (is_write) {
             handle_write(node, answer);
         }
--- a/tests/e2e/platform_fixture.c
+++ b/tests/e2e/platform_fixture.c
@@ -104,6 +104,22 @@
     return status;
 }
 
+int64_t
+platform_status_number(const platform_fixture_t *fixture, size_t node_index,
+                       const char *name)
+{
+    bv_http_reply_t reply = platform_request(
+        fixture->nodes[node_index].ports[PLATFORM_PORT_OPERATORS], "GET",
+        "/status", NULL, NULL);
+    gsize size;
+    const char *text = g_bytes_get_data(reply.body, &size);
+    json_t *status = json_loadb(text, size, 0, NULL);
+    int64_t number = json_integer_value(json_object_get(status, name));
+    json_decref(status);
+    bv_http_reply_clear(&reply);
+    return number;
+}
+
 /* Answers a call as the target does, and stores the name of the caller. */
 static void
 answer_as(platform_node_t *node, bv_call_t *call, gint mode)
--- a/tests/e2e/platform_fixture.h
+++ b/tests/e2e/platform_fixture.h
@@ -113,6 +113,10 @@
 /* Ends processes that still run after a failed check. */
 void platform_kill_remaining(const platform_fixture_t *fixture);
 
+/* Returns a number of a node's status page, such as "queued". */
+int64_t platform_status_number(const platform_fixture_t *fixture,
+                               size_t node_index, const char *name);
+
 /* Sends an HTTP request to a port of this host. */
 bv_http_reply_t platform_request(uint16_t port, const char *method,
                                  const char *path, const char *headers,
--- a/tests/e2e/test_leaving_target.c
+++ b/tests/e2e/test_leaving_target.c
@@ -4,7 +4,6 @@
 #include "berylvane/common/program.h"
 
 #include <arpa/inet.h>
-#include <jansson.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -186,26 +185,11 @@
     return listener;
 }
 
-static int64_t
-running_work(size_t node_index)
-{
-    bv_http_reply_t reply = platform_request(
-        fixture.nodes[node_index].ports[PLATFORM_PORT_OPERATORS], "GET",
-        "/status", NULL, NULL);
-    gsize size;
-    const char *text = g_bytes_get_data(reply.body, &size);
-    json_t *status = json_loadb(text, size, 0, NULL);
-    int64_t running = json_integer_value(json_object_get(status, "running"));
-    json_decref(status);
-    bv_http_reply_clear(&reply);
-    return running;
-}
-
 static void
 wait_until_running(size_t node_index)
 {
     int64_t end_us = bv_clock_now_us() + PLATFORM_STATE_TIMEOUT_US;
-    while (running_work(node_index) == 0) {
+    while (platform_status_number(&fixture, node_index, "running") == 0) {
         ck_assert(bv_clock_now_us() < end_us);
         usleep(POLL_US);
     }
--- a/tests/e2e/test_target_drain.c
+++ b/tests/e2e/test_target_drain.c
@@ -2,7 +2,6 @@
 
 #include "berylvane/common/program.h"
 
-#include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,19 +30,10 @@
 }
 
 /* Number of pieces of work in the queue of a node. */
-static json_int_t
+static int64_t
 queued_work(size_t node_index)
 {
-    bv_http_reply_t reply = platform_request(
-        fixture.nodes[node_index].ports[PLATFORM_PORT_OPERATORS], "GET",
-        "/status", NULL, NULL);
-    gsize size;
-    const char *text = g_bytes_get_data(reply.body, &size);
-    json_t *status = json_loadb(text, size, 0, NULL);
-    json_int_t queued = json_integer_value(json_object_get(status, "queued"));
-    json_decref(status);
-    bv_http_reply_clear(&reply);
-    return queued;
+    return platform_status_number(&fixture, node_index, "queued");
 }
 
 static void *
