Quotas: a new lessor starts owing a burst

Cause: what a lessor has lent lives in its process. Its successor started with an empty bucket, but gained the burst anew, and counted the bound of the window for itself. It is the same class as the forgotten departures: a promise for longer than its process lasts.

Evidence: test_quota_lessor, successors, has up to three lessors follow one another.

Change: a bucket with a window starts at minus a burst. What two successive lessors lend stays within what one lends, by the reckoning in design/quota.md, for a kill as for a stop and without a message. The price is that a lessor which has just begun lends nothing for B x W / (R x W + B) seconds.

--- a/core/quota_lessor.c
+++ b/core/quota_lessor.c
@@ -250,13 +250,25 @@
     }
 }
 
+/*
+ * Permits that a bucket starts with: it owes a burst, which the former lessor
+ * may have lent just before. With this debt both together lend no more in any
+ * window than one bucket that goes on.
+ */
+static double
+initial_permits(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit)
+{
+    bool has_window = lessor->bounds.window_us > 0;
+    return has_window ? -(double)limit->burst / BV_QUOTA_PARTS : 0;
+}
+
 static void
-take_into_use(const bv_quota_lessor_t *lessor, bucket_t *bucket,
-              int64_t since_us)
+take_into_use(const bv_quota_lessor_t *lessor, const bv_quota_limit_t *limit,
+              bucket_t *bucket, int64_t since_us)
 {
     bv_quota_window_init(&bucket->lent, lessor->bounds.window_us);
     bucket->is_in_use = true;
-    bucket->permits = 0;
+    bucket->permits = initial_permits(lessor, limit);
     bucket->backlog = 0;
     bucket->filled_us = since_us;
 }
@@ -322,7 +334,7 @@
     const bv_quota_limit_t *limit = &account->limit;
     bucket_t *bucket = &account->parts[request->part];
     if (!bucket->is_in_use) {
-        take_into_use(lessor, bucket, MAX(since_us, account->known_us));
+        take_into_use(lessor, limit, bucket, MAX(since_us, account->known_us));
     }
     fill(lessor, limit, bucket, now_us);
     reply.granted = take(lessor, limit, bucket, now_us, request);
--- a/include/berylvane/core/quota_lessor.h
+++ b/include/berylvane/core/quota_lessor.h
@@ -11,10 +11,10 @@
  * divided equally among the parts. Two hold. In any window, no more is lent
  * than the quota of a window and a quarter of the allowed overage. A token
  * bucket spreads this over the window; it gains the quota of a window in a
- * window. It starts empty, so that the permits of successive lessors stay
- * within the bounds as well. Its capacity is the burst and a quarter of the
- * allowed overage, so that accounts that use little are not refused below
- * their quota.
+ * window. It starts owing a burst, which the former lessor may have lent just
+ * before, so that the permits of successive lessors stay within the bounds as
+ * well. Its capacity is the burst and a quarter of the allowed overage, so
+ * that accounts that use little are not refused below their quota.
  */
 typedef struct {
     const char *account;
--- a/tests/test_quota_lessor.c
+++ b/tests/test_quota_lessor.c
@@ -169,14 +169,116 @@
 }
 END_TEST
 
+#define STEP_US (50 * MS)
+#define STEPS 600
+#define LESSORS 3
+#define WINDOW_US (5 * SECOND_US)
+
+typedef struct {
+    const char *name;
+    bv_quota_limit_t limit;
+    /* When callers begin to take all they get. */
+    int64_t demand_us;
+    /* When the first lessor hands over, and each one after it. */
+    int64_t handover_us;
+    int64_t period_us;
+} successor_case_t;
+
+static const successor_case_t successor_cases[] = {
+    {"burst before the hand-over",
+     {10, 100},
+     9700 * MS,
+     10 * SECOND_US,
+     10 * SECOND_US},
+    {"burst and rate before it",
+     {10, 100},
+     7 * SECOND_US,
+     10 * SECOND_US,
+     10 * SECOND_US},
+    {"demand all the time", {10, 100}, 0, 10 * SECOND_US, 10 * SECOND_US},
+    {"two hand-overs in a window",
+     {10, 100},
+     9700 * MS,
+     10 * SECOND_US,
+     2 * SECOND_US},
+    {"large burst", {10, 200}, 9700 * MS, 10 * SECOND_US, 10 * SECOND_US},
+    {"small rate", {2, 100}, 9700 * MS, 10 * SECOND_US, 10 * SECOND_US},
+    {"burst of a second", {200, 200}, 9700 * MS, 10 * SECOND_US, SECOND_US},
+    {"no burst", {50, 0}, 9700 * MS, 10 * SECOND_US, SECOND_US},
+};
+
+/* The lessor at a time, and when it became that. */
+static size_t
+lessor_at(const successor_case_t *row, int64_t now_us, int64_t *since_us)
+{
+    size_t index = 0;
+    *since_us = 0;
+    while (index + 1 < LESSORS &&
+           now_us >= row->handover_us + (int64_t)index * row->period_us) {
+        *since_us = row->handover_us + (int64_t)index * row->period_us;
+        index++;
+    }
+    return index;
+}
+
+static uint32_t
+most_in_window(const uint32_t granted[STEPS])
+{
+    uint32_t most = 0;
+    for (int first = 0; first < STEPS; first++) {
+        uint32_t sum = 0;
+        for (int i = first; i < MIN(first + WINDOW_US / STEP_US, STEPS); i++) {
+            sum += granted[i];
+        }
+        most = MAX(most, sum);
+    }
+    return most;
+}
+
+/*
+ * Guards against a burst that is lent twice in a window: by the lessors that
+ * stop, and by those that lend after them (QUOTA).
+ */
+START_TEST(test_successors)
+{
+    const successor_case_t *row = &successor_cases[_i];
+    bv_quota_bounds_t bounds = {WINDOW_US, 0.1, 20};
+    bv_quota_lessor_t *lessors[LESSORS];
+    uint32_t granted[STEPS] = {0};
+    for (size_t i = 0; i < LESSORS; i++) {
+        lessors[i] = bv_quota_lessor_create();
+        bv_quota_lessor_set_bounds(lessors[i], 0, &bounds);
+        bv_quota_lessor_set_limit(lessors[i], 0, ACCOUNT, &row->limit);
+    }
+    for (int64_t i = row->demand_us / STEP_US; i < STEPS; i++) {
+        int64_t since_us;
+        bv_quota_request_t request = {ACCOUNT, 0, 1000, 1000};
+        size_t index = lessor_at(row, i * STEP_US, &since_us);
+        granted[i] = bv_quota_lessor_lend(lessors[index], i * STEP_US,
+                                          since_us, &request)
+                         .granted;
+    }
+    double bound = bv_quota_in_window(&row->limit, &bounds) +
+                   bv_quota_overage(&row->limit, &bounds) / 4;
+    ck_assert_msg(most_in_window(granted) <= bound / BV_QUOTA_PARTS,
+                  "%s: %u of %.1f", row->name, most_in_window(granted),
+                  bound / BV_QUOTA_PARTS);
+    for (size_t i = 0; i < LESSORS; i++) {
+        bv_quota_lessor_destroy(lessors[i]);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
-    const support_test_t tests[] = {{"lend", test_lend, 1},
-                                    {"burst", test_burst, 1},
-                                    {"window_changed", test_window_changed, 1},
-                                    {"backlog", test_backlog, 1},
-                                    {"forget", test_forget, 1},
-                                    {NULL}};
+    const support_test_t tests[] = {
+        {"lend", test_lend, 1},
+        {"burst", test_burst, 1},
+        {"window_changed", test_window_changed, 1},
+        {"backlog", test_backlog, 1},
+        {"forget", test_forget, 1},
+        {"successors", test_successors, G_N_ELEMENTS(successor_cases)},
+        {NULL}};
     return support_run("quota_lessor", tests);
 }
