Tests: a failed check of a departure leaves no processes behind

In one of two whole CIs side by side, under the thread sanitizer, two checks of e2e_departures failed while their deployment started; the processes that they left kept the test's output open, so that the run stood still. Each check now ends what an earlier one has left.

--- a/tests/e2e/test_departures.c
+++ b/tests/e2e/test_departures.c
@@ -67,6 +67,8 @@
 static void
 start_deployment(void)
 {
+    /* A failed check leaves its processes behind. */
+    platform_kill_remaining(&fixture);
     memset(&fixture, 0, sizeof(fixture));
     platform_start_store(&fixture);
     platform_start_node(&fixture, "front");
--- a/tests/e2e/test_leaving_target.c
+++ b/tests/e2e/test_leaving_target.c
@@ -38,6 +38,8 @@
 static void
 start_deployment(const char *kind)
 {
+    /* A failed check leaves its processes behind. */
+    platform_kill_remaining(&fixture);
     memset(&fixture, 0, sizeof(fixture));
     platform_start_store(&fixture);
     platform_start_node(&fixture, "front");
