Review: a node that has called about 1,000 machines that left reaches no new one

Cause: the peer link keeps the ZeroMQ socket of a member that has left, and a context has 1,023 of them. Tried: machines that are added, called once and stopped with SIGTERM, 60 at a time; then new routes to new machines. Measured: descriptors grow by one for each machine that left; after 1,020 to 1,022 the node answers 503 to all requests on routes to new machines, while another node serves them all.

--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -210,6 +210,7 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((machine.ip, machine.ports["app"]))
         self.listener.listen(128)
+        self.has_ended = False
         threading.Thread(target=self.accept, daemon=True).start()
         threading.Thread(target=self.beat_on, daemon=True).start()
 
@@ -270,8 +271,12 @@
         finally:
             client.close()
 
+    def end(self):
+        self.has_ended = True
+        self.listener.close()
+
     def beat_on(self):
-        while True:
+        while not self.has_ended:
             status = None
             if self.is_beating:
                 try:
@@ -313,7 +318,7 @@
 
     def __init__(self, deployment, number, service, zone, region):
         self.deployment, self.service, self.zone, self.region = deployment, service, zone, region
-        self.ip = "%s.%d" % (deployment.network, number)
+        self.ip = "%s.%d.%d" % (deployment.network, 1 + number // 250, 1 + number % 250)
         self.name = "sidecar-%s-%d" % (zone, number)
         self.ports, self.process = deployment.ports, None
 
@@ -360,15 +365,14 @@
 
 
 def free_network():
-    """Returns an unused part of the loopback network."""
+    """Returns an unused part of the loopback network, such as 127.20."""
     for _ in range(50):
-        network = "127.%d.%d" % (random.randrange(20, 250), random.randrange(1, 250))
+        network = "127.%d" % random.randrange(20, 250)
         try:
             for number in range(1, 9):
                 for port in (8300, 8301, 8302, 8304, 8306, 7620, 7635):
                     probe = socket.socket()
-                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(("%s.%d" % (network, number), port))
+                    probe.bind(("%s.1.%d" % (network, number), port))
                     probe.close()
             return network
         except OSError:
@@ -383,10 +387,11 @@
         self.ports = {"inbound": 8300, "app": 8301, "ready": 8302, "outbound": 8304,
                       "control": 8306, "first": 7620, "last": 7635}
         self.bounds = {**BOUNDS, **(bounds or {})}
-        self.store, self.machines, self.version = Store(), [], 5
+        self.store, self.machines, self.added, self.version = Store(), [], 0, 5
 
     def add(self, service, zone="mid-a", region="midlands"):
-        machine = Machine(self, len(self.machines) + 1, service, zone, region)
+        self.added += 1
+        machine = Machine(self, self.added, service, zone, region)
         self.machines.append(machine)
         return machine
 
