--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,6 +1,5 @@
-"""Machines come and go: each is added under a new name and address, serves, and
-is stopped with SIGTERM when its endpoint has ended. One node stays all the
-while, and has sent each of them a request."""
+"""A node is stopped on its own with SIGTERM. The endpoint beside it goes on
+running a request, and makes calls through the node on one kept connection."""
 import os
 import sys
 import threading
@@ -11,117 +10,94 @@
 from standins import *  # noqa: E402,F403
 
 HOST = "orders.example"
-TIMEOUT_MS = 1000
-# Machines that are replaced at the same time.
-AT_ONCE = 60
-REPLACED = 1200
-REPLACING_LIMIT_S = 90
-# RULES, CONFIG: 20 or more requests on routes that were added later.
-REQUESTS = 40
-ADDED = 4
-
-
-def ask(machine, path):
-    """Returns the status of one request, None without an answer."""
-    try:
-        client = Client(machine.address("outbound"), 3)
-        try:
-            return client.call("GET", path, {"Host": HOST, "Request-Id": new_id(),
-                                             "Request-Deadline": TIMEOUT_MS})[0]
-        finally:
-            client.close()
-    except OSError:
-        return None
-
-
-def in_parallel(function, items):
-    threads = [threading.Thread(target=function, args=(item,)) for item in items]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-def stop(machine):
-    machine.endpoint.end()
-    machine.signal(signal.SIGTERM)
-    for _ in range(2):  # two questions in a row without a 200
-        machine.is_ready()
-        time.sleep(0.05)
-    machine.process.wait(10)
-
-
-def replace_once(deployment, record, node):
-    """Adds machines, has the node send a request to each, and removes them.
-    Returns how many of the requests were answered."""
-    machines = [deployment.add("team%d" % number) for number in range(AT_ONCE)]
-    for machine in machines:
-        machine.start()
-    for machine in machines:
-        machine.endpoint = Endpoint(machine)
-    served, end = set(), time.monotonic() + 1
-
-    def ask_for(number):
-        if ask(node, "/team%d/" % number) == 200:
-            served.add(number)
-
-    while len(served) < AT_ONCE and time.monotonic() < end:
-        in_parallel(ask_for, [n for n in range(AT_ONCE) if n not in served])
-        time.sleep(0.05)
-    in_parallel(stop, machines)
-    del deployment.machines[-AT_ONCE:]
-    record.write("%d machines were added, served %d requests and left", AT_ONCE, len(served))
-    return len(served)
-
-
-def share(record, machine, paths, what):
-    statuses = [ask(machine, paths[n % len(paths)]) for n in range(REQUESTS)]
-    counts = {status: statuses.count(status) for status in set(statuses)}
-    record.write("%d requests at %s on %s: answered %s", REQUESTS, machine.name, what, counts)
-    return counts.get(200, 0) / REQUESTS
+TIMEOUT_MS = 5000
+DEADLINE_MS = 10000
+CALL_WORK_S = 0.95
+CALLS = 5
+# RULES, LOST: a request that was sent later than this after the SIGTERM is not
+# excused by its endpoint being at work in the last sixth of GraceS.
+EXCUSED_S = 3.0
 
 
 def case(deployment, record, has_trouble):
-    node = deployment.add("catalogue")
-    other = deployment.add("orders")
-    services = ["catalogue", "orders"] + ["team%d" % n for n in range(AT_ONCE)]
-    routes = [route("r-order", "/order/", "safe", "orders", TIMEOUT_MS)]
-    routes += [route("r-team%d" % n, "/team%d/" % n, "safe", "team%d" % n, TIMEOUT_MS)
-               for n in range(AT_ONCE)]
-    deployment.configure(services, routes)
-    for machine in (node, other):
+    a = deployment.add("orders")
+    others = [deployment.add("stores"), deployment.add("stores")]
+    term_s, calls = [], []
+
+    def run_parent(endpoint, run):
+        if not run["path"].startswith("/order/"):
+            return 0.02
+        client = Client(a.address("outbound"))
+        for number in range(CALLS):
+            call = {"id": "%s.%d" % (run["id"], number), "sent": now()}
+            calls.append(call)
+            try:
+                call["answer"] = client.call("GET", "/stock/hide", {
+                    "Host": HOST, "Request-Id": call["id"], "Request-Deadline": DEADLINE_MS})
+            except OSError as problem:
+                call["answer"] = (None, {}, b"", False)
+                record.write("call %s could not be sent: %r", call["id"], problem)
+                run["status"] = "500 Internal Server Error"
+                return 0
+            call["answered"] = now()
+            record.write("call %s: sent at %.3f, answered %s, signature %s", call["id"],
+                         call["sent"], call["answer"][0],
+                         call["answer"][1].get("response-signature"))
+            if call["answer"][0] != 200:
+                run["status"] = "500 Internal Server Error"
+                break
+        client.close()
+        return 0
+
+    deployment.configure(["orders", "stores"], [
+        route("r-order", "/order/", "safe", "orders", TIMEOUT_MS),
+        route("r-stock", "/stock/", "safe", "stores", TIMEOUT_MS)])
+    for machine in deployment.machines:
         machine.start()
-        machine.endpoint = Endpoint(machine)
+    Endpoint(a, work=run_parent)
+    stores = [Endpoint(m, work=lambda endpoint, run: CALL_WORK_S) for m in others]
     if not deployment.wait_until_ready():
         return NOT_RUN
-    time.sleep(2)
-    while ask(node, "/order/") != 200:
-        time.sleep(0.2)
-    replaced, end = 0, time.monotonic() + REPLACING_LIMIT_S
-    while has_trouble and replaced < REPLACED and time.monotonic() < end:
-        served = replace_once(deployment, record, node)
-        replaced += served
-        if served == 0:
-            break  # it has happened
-    record.write("%d machines were replaced", replaced)
-
-    # Calm: no process is touched any more; new machines, and routes to them.
-    added = [deployment.add("new%d" % number) for number in range(ADDED)]
-    for machine in added:
-        machine.start()
-        machine.endpoint = Endpoint(machine)
-    paths = ["/new%d/" % number for number in range(ADDED)]
-    deployment.configure(services + ["new%d" % n for n in range(ADDED)], routes + [
-        route("r-new%d" % n, paths[n], "safe", "new%d" % n, TIMEOUT_MS) for n in range(ADDED)])
-    time.sleep(9)  # ContactMs, and ConfigApplyMs after the acknowledgement
-    for machine in (node, other):
-        record.write("%s is ready: %s", machine.name, machine.is_ready())
-    share(record, other, paths, "the routes that were added")
-    on_first = share(record, node, ["/order/"], "the first route")
-    on_added = share(record, node, paths, "the routes that were added")
-    if on_first < 0.5:
+    time.sleep(6)  # all machines are in touch (ContactMs)
+
+    if has_trouble:
+        term_s.append(now())
+        a.signal(signal.SIGTERM)
+        record.write("SIGTERM to the node %s", a.name)
+    threading.Thread(target=a.poll_ready, daemon=True).start()
+    time.sleep(0.8)
+    parent = new_id()
+    record.write("request %s is sent to %s", parent, others[0].name)
+    client = Client(others[0].address("outbound"))
+    answer = client.call("GET", "/order/1", {"Host": HOST, "Request-Id": parent,
+                                             "Request-Deadline": DEADLINE_MS})
+    record.write("request %s: answered %s, signature %s", parent, answer[0],
+                 answer[1].get("response-signature"))
+    time.sleep(1.5)
+    return judge(record, calls, stores, term_s)
+
+
+def judge(record, calls, stores, term_s):
+    runs = {run["id"]: run for endpoint in stores for run in endpoint.runs}
+    broken = 0
+    if not calls:
         return NOT_RUN
-    return BROKEN if on_added < on_first / 4 else HELD
+    for call in calls:
+        run = runs.get(call["id"])
+        if run is None or "answered" not in call:
+            continue
+        after_s = call["sent"] - term_s[0] if term_s else 0
+        took_s = call["answered"] - call["sent"]
+        is_own = call["answer"][0] is None or "response-signature" not in call["answer"][1]
+        is_cut = is_own and (run["ended"] is None or run["ended"] > call["answered"])
+        record.write("call %s: sent %.3f s after the SIGTERM, run at %s from %.3f to %s, %s",
+                     call["id"], after_s, run["endpoint"], run["started"], run["ended"],
+                     "cut after %.3f s" % took_s if is_cut else "answered in %.3f s" % took_s)
+        in_time = took_s < TIMEOUT_MS / 1000 - 0.1
+        if is_cut and in_time and (after_s > EXCUSED_S or not term_s):
+            broken += 1
+    record.write("%d calls were broken off while their endpoint was at work", broken)
+    return BROKEN if broken else HELD
 
 
 play(FOLDER, case)
